Lay out the modules, the design and the shared types

Cause: the project starts; every later part needs the same words, ports and build. Change: Maven modules whose dependencies point one way (enforced for api, decision and fleet), the design page, value types, typed outcomes, platform ports, and the interfaces between decisions and their runtime. Conclusion: parts can now be built side by side against these interfaces.

--- /dev/null
+++ b/api/src/main/kotlin/io/poplarwood/api/id/Incarnation.kt
@@ -0,0 +1,29 @@
+package io.poplarwood.api.id
+
+import kotlinx.serialization.Serializable
+
+/**
+ * One run of an entry process.
+ *
+ * @property startedMs wall-clock start in milliseconds since the epoch; orders runs of one entry for display only
+ * @property nonce random bits that keep two runs apart even when their clocks agree
+ */
+@Serializable
+data class Incarnation(val startedMs: Long, val nonce: Long) : Comparable<Incarnation> {
+    override fun compareTo(other: Incarnation): Int = compareValuesBy(this, other, { it.startedMs }, { it.nonce })
+
+    override fun toString(): String = startedMs.toString(RADIX) + "-" + nonce.toULong().toString(RADIX)
+
+    companion object {
+        private const val RADIX = 36
+
+        /** Parses what [toString] gives; null when [text] has another shape. */
+        fun parse(text: String): Incarnation? {
+            val at = text.indexOf('-')
+            if (at < 0) return null
+            val started = text.substring(0, at).toLongOrNull(RADIX) ?: return null
+            val nonce = text.substring(at + 1).toULongOrNull(RADIX) ?: return null
+            return Incarnation(started, nonce.toLong())
+        }
+    }
+}
--- /dev/null
+++ b/api/src/main/kotlin/io/poplarwood/api/id/UpstreamId.kt
@@ -0,0 +1,17 @@
+package io.poplarwood.api.id
+
+import kotlinx.serialization.Serializable
+
+/**
+ * One life of one upstream.
+ *
+ * @property address `ip:port` that accepts connections
+ * @property incarnation identity of the VM's life as the platform lists it; an address that returns with another
+ *   incarnation is a new upstream
+ */
+@Serializable
+data class UpstreamId(val address: String, val incarnation: String) : Comparable<UpstreamId> {
+    override fun compareTo(other: UpstreamId): Int = compareValuesBy(this, other, { it.address }, { it.incarnation })
+
+    override fun toString(): String = "$address#$incarnation"
+}
--- /dev/null
+++ b/api/src/main/kotlin/io/poplarwood/api/platform/VmState.kt
@@ -0,0 +1,14 @@
+package io.poplarwood.api.platform
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** State of a VM as the platform lists it. */
+@Serializable
+enum class VmState {
+    @SerialName("live")
+    LIVE,
+
+    @SerialName("leaving")
+    LEAVING,
+}
--- /dev/null
+++ b/bench/src/main/kotlin/io/poplarwood/bench/Module.kt
@@ -0,0 +1,3 @@
+package io.poplarwood.bench
+
+internal const val MODULE = "bench"
--- /dev/null
+++ b/cli/src/main/kotlin/io/poplarwood/cli/Main.kt
@@ -0,0 +1,6 @@
+package io.poplarwood.cli
+
+/** Starts the command line. */
+fun main() {
+    println("poplarwood")
+}
--- /dev/null
+++ b/decision/src/main/kotlin/io/poplarwood/decision/routing/Router.kt
@@ -0,0 +1,36 @@
+package io.poplarwood.decision.routing
+
+import io.poplarwood.api.id.EntryRef
+import io.poplarwood.api.work.Rank
+import kotlinx.collections.immutable.ImmutableList
+
+/**
+ * Chooses upstreams for one service at one entry. Calls come from one thread at a time and never block.
+ *
+ * Messages to peers leave through a function passed to the implementation's constructor.
+ */
+interface Router {
+    /** Takes a slot for one attempt, or says why there is none now. */
+    fun reserve(request: RouteRequest): Reservation
+
+    /** Ends an attempt that [reserve] started and takes in what it showed. */
+    fun release(slot: SlotId, evidence: AttemptEvidence)
+
+    /** Tells how many calls of each rank wait for a slot, indexed by [Rank.ordinal]. */
+    fun backlog(waiting: IntArray)
+
+    /** Takes in a message of the peer [from]. */
+    fun receive(from: EntryRef, message: SlotMessage)
+
+    /** Replaces the list of upstreams that may be used. */
+    fun upstreams(list: ImmutableList<UpstreamView>)
+
+    /** Replaces the list of live entries, this one included. */
+    fun entries(list: ImmutableList<EntryRef>)
+
+    /** Runs the periodic systems; called every 10 ms. */
+    fun tick()
+
+    /** What is known about each upstream, for `status` and `explain`. */
+    fun table(): ImmutableList<UpstreamRow>
+}
--- /dev/null
+++ b/decision/src/main/kotlin/io/poplarwood/decision/routing/UpstreamView.kt
@@ -0,0 +1,19 @@
+package io.poplarwood.decision.routing
+
+import io.poplarwood.api.id.UpstreamId
+import io.poplarwood.api.id.Zone
+
+/**
+ * One upstream as membership knows it.
+ *
+ * @property slots requests it runs at once, as listed or reported
+ * @property connectionLimit connections it accepts from all entries together
+ * @property state whether it may get new work
+ */
+data class UpstreamView(
+    val id: UpstreamId,
+    val zone: Zone,
+    val slots: Int,
+    val connectionLimit: Int,
+    val state: UpstreamState,
+)
--- /dev/null
+++ b/fleet/src/main/kotlin/io/poplarwood/fleet/Module.kt
@@ -0,0 +1,3 @@
+package io.poplarwood.fleet
+
+internal const val MODULE = "fleet"
--- /dev/null
+++ b/peer/src/main/kotlin/io/poplarwood/peer/Module.kt
@@ -0,0 +1,3 @@
+package io.poplarwood.peer
+
+internal const val MODULE = "peer"
--- /dev/null
+++ b/standins/src/main/kotlin/io/poplarwood/standins/Module.kt
@@ -0,0 +1,3 @@
+package io.poplarwood.standins
+
+internal const val MODULE = "standins"
