--- a/bench/src/main/kotlin/io/poplarwood/bench/Module.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package io.poplarwood.bench
-
-internal const val MODULE = "bench"
