Add a virtual-time cell for measuring routers and dispatchers

Cause: policies must be compared in one run with equal arrivals and without wall-clock noise.

Conclusion: base for bench routing and for the dispatcher's flood bench.

--- /dev/null
+++ b/bench/src/main/kotlin/io/poplarwood/bench/virtual/VirtualEntry.kt
@@ -0,0 +1,129 @@
+package io.poplarwood.bench.virtual
+
+import io.poplarwood.api.id.EntryRef
+import io.poplarwood.api.id.UpstreamId
+import io.poplarwood.api.id.Zone
+import io.poplarwood.api.work.Rank
+import io.poplarwood.decision.routing.AttemptEvidence
+import io.poplarwood.decision.routing.AttemptResult
+import io.poplarwood.decision.routing.Reservation
+import io.poplarwood.decision.routing.RouteRequest
+import io.poplarwood.decision.routing.Router
+import io.poplarwood.decision.routing.SlotMessage
+import kotlin.time.Duration
+
+/**
+ * One entry around a real [router]: a queue per rank, urgent first, and immediate retries of shed and failed attempts.
+ *
+ * @property self name that peers know the entry by
+ */
+class VirtualEntry(
+    private val loop: EventLoop,
+    val self: EntryRef,
+    private val zone: Zone,
+    val router: Router,
+    private val network: FakeNetwork,
+) {
+    private class Waiting(val rank: Rank, val arrived: Duration, val outcomes: Outcomes?) {
+        var tried: List<UpstreamId> = emptyList()
+        var errors = 0
+    }
+
+    private val queues = Rank.entries.map { ArrayDeque<Waiting>() }
+    private val counts = IntArray(Rank.entries.size)
+
+    /** Whether the entry works; a stopped one neither ticks nor receives. */
+    var running: Boolean = true
+
+    init {
+        loop.every(TICK) { tick() }
+    }
+
+    /** Takes a request of [rank] that arrives now; it is counted in [outcomes] when that is given. */
+    fun offer(rank: Rank, outcomes: Outcomes?) {
+        if (outcomes != null) outcomes.requests++
+        queues[rank.ordinal].addLast(Waiting(rank, loop.now(), outcomes))
+        pump()
+    }
+
+    /** Takes a message of [from]. */
+    fun receive(from: EntryRef, message: SlotMessage) {
+        if (!running) return
+        router.receive(from, message)
+        pump()
+    }
+
+    /** Requests that wait for a slot. */
+    fun waiting(): Int = queues.sumOf { it.size }
+
+    private fun tick(): Boolean {
+        if (!running) return false
+        router.tick()
+        pump()
+        return true
+    }
+
+    private fun pump() {
+        tellBacklog()
+        for (queue in queues) {
+            while (queue.isNotEmpty()) {
+                val next = queue.first()
+                val granted = router.reserve(RouteRequest(next.rank, next.tried)) as? Reservation.Granted ?: break
+                queue.removeFirst()
+                send(next, granted)
+            }
+        }
+        tellBacklog()
+    }
+
+    private fun tellBacklog() {
+        var changed = false
+        for (i in counts.indices) {
+            changed = changed || counts[i] != queues[i].size
+            counts[i] = queues[i].size
+        }
+        if (changed) router.backlog(counts)
+    }
+
+    private fun send(call: Waiting, granted: Reservation.Granted) {
+        call.outcomes?.let { it.attempts++ }
+        network.request(zone, granted.upstream) { evidence ->
+            if (running) {
+                router.release(granted.slot, evidence)
+                ended(call, granted.upstream, evidence)
+                pump()
+            }
+        }
+    }
+
+    private fun ended(call: Waiting, upstream: UpstreamId, evidence: AttemptEvidence) {
+        val outcomes = call.outcomes
+        when (evidence.result) {
+            AttemptResult.ANSWERED -> outcomes?.answered(call.rank, loop.now() - call.arrived)
+            AttemptResult.BUSY, AttemptResult.DRAINING -> {
+                if (outcomes != null) outcomes.sheds++
+                again(call, upstream)
+            }
+            else -> if (++call.errors <= MOST_ERROR_RETRIES) {
+                again(call, upstream)
+            } else if (outcomes != null) {
+                outcomes.failed++
+            }
+        }
+    }
+
+    private fun again(call: Waiting, upstream: UpstreamId) {
+        call.tried = (call.tried + upstream).takeLast(REMEMBERED)
+        queues[call.rank.ordinal].addFirst(call)
+    }
+
+    private companion object {
+        val TICK = Duration.parse("10ms")
+
+        /** One retry after an error, as an idempotent request gets from the dispatcher. */
+        const val MOST_ERROR_RETRIES = 1
+
+        /** Tried upstreams to avoid; remembering all would leave none to try. */
+        const val REMEMBERED = 4
+    }
+}
