--- a/bench/src/main/kotlin/io/poplarwood/bench/virtual/Arrivals.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/virtual/Arrivals.kt
@@ -1,6 +1,7 @@
 package io.poplarwood.bench.virtual
 
 import io.poplarwood.api.random.Randomness
+import io.poplarwood.api.random.SplitMix
 import io.poplarwood.api.work.Rank
 import kotlin.math.ln
 import kotlin.time.Duration
@@ -20,19 +21,31 @@
     private val standard: Double = 0.4,
     private val perSecond: (Duration) -> Double,
 ) {
-    /** Starts the arrivals. Those between [measureFrom] and [end] are counted in [outcomes]; none comes after [end]. */
-    fun start(measureFrom: Duration, end: Duration, outcomes: Outcomes) {
+    private val entryRandom = SplitMix(random.nextLong())
+
+    /**
+     * Starts the arrivals. Those between [measureFrom] and [end] are counted in [outcomes]; none comes after [end].
+     *
+     * @param offer takes each request; by default a random entry does
+     */
+    fun start(
+        measureFrom: Duration,
+        end: Duration,
+        outcomes: Outcomes,
+        offer: (Rank, Outcomes?) -> Unit = { rank, counted -> anyEntry().offer(rank, counted) },
+    ) {
         val now = cell.loop.now()
         cell.loop.after((-ln(1.0 - random.nextDouble()) / perSecond(now)).seconds) {
             val at = cell.loop.now()
             if (at <= end) {
-                val entry = cell.entries[random.nextInt(cell.entries.size)]
-                entry.offer(rank(random.nextDouble()), outcomes.takeIf { at >= measureFrom })
-                start(measureFrom, end, outcomes)
+                offer(rank(random.nextDouble()), outcomes.takeIf { at >= measureFrom })
+                start(measureFrom, end, outcomes, offer)
             }
         }
     }
 
+    private fun anyEntry() = cell.entries[entryRandom.nextInt(cell.entries.size)]
+
     private fun rank(draw: Double): Rank = when {
         draw < urgent -> Rank.URGENT
         draw < urgent + standard -> Rank.STANDARD
--- a/bench/src/main/kotlin/io/poplarwood/bench/virtual/FakeUpstream.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/virtual/FakeUpstream.kt
@@ -10,7 +10,7 @@
  * An upstream in virtual time with [UpstreamView.slots] slots.
  *
  * @property whenFull what happens to a request that finds no free slot
- * @param shedCost work that one shed response costs; it lengthens the next request that starts
+ * @param shedCost work that one shed response costs: it takes this long, and the next service time grows by it
  */
 class FakeUpstream(
     private val loop: EventLoop,
@@ -68,6 +68,6 @@
     private fun shed(done: (AttemptResult) -> Unit) {
         sheds++
         shedDebt += shedCost
-        done(AttemptResult.BUSY)
+        loop.after(shedCost) { done(AttemptResult.BUSY) }
     }
 }
--- a/bench/src/main/kotlin/io/poplarwood/bench/virtual/Outcomes.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/virtual/Outcomes.kt
@@ -21,11 +21,22 @@
     /** Requests whose last attempt was answered with an error. */
     var failed: Long = 0
 
+    /** Requests that no upstream served before their deadline; counted in [failed] too. */
+    var timeouts: Long = 0
+        private set
+
     /** Records an answered request. */
     fun answered(rank: Rank, latency: Duration) {
         latencies[rank.ordinal].recordValue(latency.inWholeMicroseconds.coerceIn(0, HIGHEST_MICROS))
     }
 
+    /** Records a request that ended unserved after [deadline], as a failure and with that latency. */
+    fun timedOut(rank: Rank, deadline: Duration) {
+        failed++
+        timeouts++
+        answered(rank, deadline)
+    }
+
     /** Latency at [quantile], between 0 and 1, of answered requests of [rank]. */
     fun latency(rank: Rank, quantile: Double): Duration =
         latencies[rank.ordinal].getValueAtPercentile(quantile * PERCENT).microseconds
--- a/bench/src/main/kotlin/io/poplarwood/bench/virtual/VirtualCell.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/virtual/VirtualCell.kt
@@ -35,6 +35,7 @@
     /** Connects entries and upstreams. */
     val network: FakeNetwork = FakeNetwork(loop, upstreams, settings.betweenZones, settings.withinZone)
 
+    private val random = SplitMix(settings.seed)
     private val refs = List(settings.entries) { EntryRef(EntryId("entry-$it"), Incarnation(1, it.toLong())) }
     private val zoneOf = refs.withIndex().associate { (n, ref) -> ref to zone(n) }
 
@@ -43,7 +44,7 @@
 
     /** The entries, in the order of their numbers. */
     val entries: List<VirtualEntry> = refs.mapIndexed { n, ref ->
-        VirtualEntry(loop, ref, zone(n), router(this, ref, zone(n)) { to, m -> mesh.send(ref, to, m) }, network)
+        VirtualEntry(loop, ref, zone(n), router(this, ref, zone(n)) { to, m -> mesh.send(ref, to, m) }, network, random)
     }
 
     init {
--- a/bench/src/main/kotlin/io/poplarwood/bench/virtual/VirtualCellSettings.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/virtual/VirtualCellSettings.kt
@@ -13,7 +13,8 @@
  *
  * @property slots slots of each upstream
  * @property betweenZones one-way delay between zones
- * @property shedCost work that a shed response costs an upstream
+ * @property shedCost work that a shed response costs an upstream, since sheds count as load; half of the 1 ms that a
+ *   new connection costs
  */
 data class VirtualCellSettings(
     val entries: Int = 16,
--- a/bench/src/main/kotlin/io/poplarwood/bench/virtual/VirtualEntry.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/virtual/VirtualEntry.kt
@@ -3,6 +3,7 @@
 import io.poplarwood.api.id.EntryRef
 import io.poplarwood.api.id.UpstreamId
 import io.poplarwood.api.id.Zone
+import io.poplarwood.api.random.Randomness
 import io.poplarwood.api.work.Rank
 import io.poplarwood.decision.routing.AttemptEvidence
 import io.poplarwood.decision.routing.AttemptResult
@@ -11,6 +12,8 @@
 import io.poplarwood.decision.routing.Router
 import io.poplarwood.decision.routing.SlotMessage
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * One entry around a real [router]: a queue per rank, urgent first, and immediate retries of shed and failed attempts.
@@ -23,10 +26,12 @@
     private val zone: Zone,
     val router: Router,
     private val network: FakeNetwork,
+    private val random: Randomness,
 ) {
     private class Waiting(val rank: Rank, val arrived: Duration, val outcomes: Outcomes?) {
         var tried: List<UpstreamId> = emptyList()
         var errors = 0
+        var sheds = 0
     }
 
     private val queues = Rank.entries.map { ArrayDeque<Waiting>() }
@@ -68,6 +73,11 @@
         for (queue in queues) {
             while (queue.isNotEmpty()) {
                 val next = queue.first()
+                if (loop.now() - next.arrived > DEADLINE) {
+                    queue.removeFirst()
+                    gaveUp(next)
+                    continue
+                }
                 val granted = router.reserve(RouteRequest(next.rank, next.tried)) as? Reservation.Granted ?: break
                 queue.removeFirst()
                 send(next, granted)
@@ -102,27 +112,45 @@
             AttemptResult.ANSWERED -> outcomes?.answered(call.rank, loop.now() - call.arrived)
             AttemptResult.BUSY, AttemptResult.DRAINING -> {
                 if (outcomes != null) outcomes.sheds++
-                again(call, upstream)
+                call.tried = (call.tried + upstream).takeLast(REMEMBERED)
+                if (++call.sheds <= AT_ONCE) queues[call.rank.ordinal].addFirst(call) else backOff(call)
             }
             else -> if (++call.errors <= MOST_ERROR_RETRIES) {
-                again(call, upstream)
+                call.tried = (call.tried + upstream).takeLast(REMEMBERED)
+                queues[call.rank.ordinal].addFirst(call)
             } else if (outcomes != null) {
                 outcomes.failed++
             }
         }
     }
 
-    private fun again(call: Waiting, upstream: UpstreamId) {
-        call.tried = (call.tried + upstream).takeLast(REMEMBERED)
-        queues[call.rank.ordinal].addFirst(call)
+    private fun gaveUp(call: Waiting) {
+        val outcomes = call.outcomes ?: return
+        outcomes.timedOut(call.rank, DEADLINE)
+    }
+
+    private fun backOff(call: Waiting) {
+        val doublings = (call.sheds - AT_ONCE - 1).coerceAtMost(MOST_DOUBLINGS)
+        loop.after(FIRST_BACKOFF * (1 shl doublings) * (0.5 + random.nextDouble())) {
+            queues[call.rank.ordinal].addFirst(call)
+            pump()
+        }
     }
 
     private companion object {
-        val TICK = Duration.parse("10ms")
+        val TICK = 10.milliseconds
 
         /** One retry after an error, as an idempotent request gets from the dispatcher. */
         const val MOST_ERROR_RETRIES = 1
 
+        /** Retries after sheds that are sent at once; later ones back off, lest full upstreams drown in attempts. */
+        const val AT_ONCE = 3
+        val FIRST_BACKOFF = 1.milliseconds
+        const val MOST_DOUBLINGS = 7
+
+        /** Time after which a waiting request ends; it counts as failed and with this latency. */
+        val DEADLINE = 2.seconds
+
         /** Tried upstreams to avoid; remembering all would leave none to try. */
         const val REMEMBERED = 4
     }
--- a/decision/src/main/kotlin/io/poplarwood/decision/routing/Router.kt
+++ b/decision/src/main/kotlin/io/poplarwood/decision/routing/Router.kt
@@ -31,6 +31,9 @@
     /** Runs the periodic systems; called every 10 ms. */
     fun tick()
 
+    /** Stops or resumes ejection and moves of capacity, as an operator asks. */
+    fun pauseAutomation(paused: Boolean) = Unit
+
     /** What is known about each upstream, for `status` and `explain`. */
     fun table(): ImmutableList<UpstreamRow>
 }
--- /dev/null
+++ b/decision/src/main/kotlin/io/poplarwood/decision/routing/RouterSettings.kt
@@ -0,0 +1,27 @@
+package io.poplarwood.decision.routing
+
+import io.poplarwood.api.id.Zone
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Settings of a [SlotRouter].
+ *
+ * @property zone zone of this entry; upstreams and peers there are near
+ * @property subsetSize upstreams of a large service that one entry uses, on average
+ * @property wantBytesPerSecond bytes of wants and gives this entry may send for the service
+ * @property shedsPerRequest extra attempts an entry accepts for dispatching without a lease, per granted request
+ * @property ramp time over which work to a new or returning upstream grows to its full share
+ * @property connectionReserve share of an upstream's connections kept for entries that restart
+ */
+data class RouterSettings(
+    val zone: Zone,
+    val subsetSize: Int = 40,
+    val wantBytesPerSecond: Int = 6_000,
+    val shedsPerRequest: Double = 0.15,
+    val ramp: Duration = 5.seconds,
+    val connectionReserve: Double = 0.2,
+    val renewEvery: Duration = 1.seconds,
+    val leaseLife: Duration = 2500.milliseconds,
+)
--- /dev/null
+++ b/decision/src/main/kotlin/io/poplarwood/decision/routing/RowSet.kt
@@ -0,0 +1,43 @@
+package io.poplarwood.decision.routing
+
+/** A set of row indices with constant-time change and access by position. */
+internal class RowSet {
+    private var rows = IntArray(INITIAL)
+    private var position = IntArray(INITIAL) { -1 }
+
+    /** Number of rows in the set. */
+    var size = 0
+        private set
+
+    /** The row at [at], below [size]; positions change when rows leave. */
+    operator fun get(at: Int): Int = rows[at]
+
+    /** Whether [row] is in the set. */
+    operator fun contains(row: Int): Boolean = row < position.size && position[row] >= 0
+
+    /** Adds or removes [row] so that it is in the set exactly when [present]. */
+    fun set(row: Int, present: Boolean) {
+        if (row >= position.size) grow(row * 2)
+        val at = position[row]
+        if (present == at >= 0) return
+        if (present) {
+            position[row] = size
+            rows[size++] = row
+        } else {
+            val last = rows[--size]
+            rows[at] = last
+            position[last] = at
+            position[row] = -1
+        }
+    }
+
+    private fun grow(to: Int) {
+        val old = position
+        rows = rows.copyOf(to)
+        position = IntArray(to) { if (it < old.size) old[it] else -1 }
+    }
+
+    private companion object {
+        const val INITIAL = 64
+    }
+}
--- /dev/null
+++ b/decision/src/main/kotlin/io/poplarwood/decision/routing/ShedBudget.kt
@@ -0,0 +1,33 @@
+package io.poplarwood.decision.routing
+
+import io.poplarwood.api.work.Rank
+
+/**
+ * Bounds the extra attempts that dispatching without a lease causes: a token bucket that grants fill and sheds empty.
+ *
+ * Less urgent ranks need a fuller bucket, so that they leave the budget to urgent work.
+ *
+ * @param perRequest tokens that one granted request adds; one shed costs one token
+ */
+internal class ShedBudget(private val perRequest: Double) {
+    private var tokens = CAPACITY
+
+    /** Takes in one granted request. */
+    fun granted() {
+        tokens = (tokens + perRequest).coerceAtMost(CAPACITY)
+    }
+
+    /** Takes in one shed attempt, or one that had to queue at the upstream. */
+    fun shed() {
+        tokens = (tokens - 1.0).coerceAtLeast(-CAPACITY)
+    }
+
+    /** Whether a request of [rank] may be dispatched without a lease. */
+    fun allows(rank: Rank): Boolean = tokens >= CAPACITY * FLOOR[rank.ordinal]
+
+    private companion object {
+        /** Sheds that may follow on each other; bounds the cost of a sudden overload. */
+        const val CAPACITY = 20.0
+        val FLOOR = doubleArrayOf(0.05, 0.5, 0.9)
+    }
+}
--- /dev/null
+++ b/decision/src/main/kotlin/io/poplarwood/decision/routing/Subsets.kt
@@ -0,0 +1,57 @@
+package io.poplarwood.decision.routing
+
+import com.dynatrace.hash4j.hashing.Hashing
+import io.poplarwood.api.id.EntryRef
+import io.poplarwood.api.id.UpstreamId
+import io.poplarwood.api.random.SplitMix
+import kotlin.math.ceil
+
+/**
+ * Assigns upstreams to entries by rendezvous hash with bounded load.
+ *
+ * Every upstream is used by the same number of entries, so upstreams are balanced exactly. An entry takes at most
+ * [SPREAD] times the mean number of upstreams; an upstream whose best entries are at that bound goes to the next best.
+ * The same inputs give the same assignment at every entry.
+ */
+internal object Subsets {
+    /** Largest to mean number of upstreams of an entry, before rounding up; the target is 1.3. */
+    private const val SPREAD = 1.15
+
+    /**
+     * Entries of each upstream as indices into [entries], best first; the first is the upstream's home.
+     *
+     * @param size upstreams per entry to aim for; a smaller service is used whole by every entry
+     */
+    fun assign(entries: List<EntryRef>, upstreams: List<UpstreamId>, size: Int): List<IntArray> {
+        if (entries.isEmpty()) return upstreams.map { IntArray(0) }
+        val count = entries.size
+        val sharing = ceil(size.toDouble() * count / upstreams.size.coerceAtLeast(1)).toInt().coerceIn(1, count)
+        val most = ceil(upstreams.size.toDouble() * sharing / count * SPREAD).toInt()
+        val seeds = LongArray(count) { hash(entries[it].toString()) }
+        val load = IntArray(count)
+        val order = upstreams.indices.sortedBy { hash(upstreams[it].toString()) }
+        val result = arrayOfNulls<IntArray>(upstreams.size)
+        for (u in order) {
+            result[u] = best(seeds, hash(upstreams[u].toString()), sharing, load, most)
+        }
+        return result.map { checkNotNull(it) }
+    }
+
+    private fun best(seeds: LongArray, key: Long, sharing: Int, load: IntArray, most: Int): IntArray {
+        val ranked = seeds.indices.sortedByDescending { mix(seeds[it] xor key) }
+        val chosen = IntArray(sharing)
+        var n = 0
+        for (e in ranked) {
+            if (n < sharing && load[e] < most) chosen[n++] = e
+        }
+        for (e in ranked) {
+            if (n < sharing && e !in chosen.take(n)) chosen[n++] = e
+        }
+        for (e in chosen) load[e]++
+        return chosen
+    }
+
+    private fun hash(text: String): Long = Hashing.komihash5_0().hashCharsToLong(text)
+
+    private fun mix(value: Long): Long = SplitMix(value).nextLong()
+}
--- a/decision/src/main/kotlin/io/poplarwood/decision/routing/UpstreamRow.kt
+++ b/decision/src/main/kotlin/io/poplarwood/decision/routing/UpstreamRow.kt
@@ -8,6 +8,7 @@
  *
  * @property limit requests this entry may have in flight there now
  * @property latency smoothed latency; zero before the first answer
+ * @property connections connections this entry may open there
  */
 data class UpstreamRow(
     val id: UpstreamId,
@@ -15,4 +16,5 @@
     val inFlight: Int,
     val limit: Int,
     val latency: Duration,
+    val connections: Int = 0,
 )
