--- a/bench/src/main/kotlin/io/poplarwood/bench/Benches.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/Benches.kt
@@ -1,6 +1,7 @@
 package io.poplarwood.bench
 
 import io.poplarwood.bench.api.Bench
+import io.poplarwood.bench.cost.DecisionCostBench
 import io.poplarwood.bench.routing.RoutingBench
 
 /** All measurements in the order of `bench --list`. */
@@ -8,5 +9,6 @@
     /** One of each. */
     val all: List<Bench> = listOf(
         RoutingBench,
+        DecisionCostBench,
     )
 }
--- a/decision/src/main/kotlin/io/poplarwood/decision/limits/ConcurrencyLimits.kt
+++ b/decision/src/main/kotlin/io/poplarwood/decision/limits/ConcurrencyLimits.kt
@@ -14,6 +14,7 @@
     private var base = DoubleArray(INITIAL)
     private var before = DoubleArray(INITIAL)
     private var limitBefore = IntArray(INITIAL)
+    private var grownFor = IntArray(INITIAL)
     private var judgeIn = IntArray(INITIAL)
     private var quiet = IntArray(INITIAL)
 
@@ -30,6 +31,7 @@
         base[row] = 0.0
         smooth[row] = 0.0
         judgeIn[row] = 0
+        grownFor[row] = 0
         quiet[row] = 0
     }
 
@@ -66,7 +68,9 @@
             return
         }
         base[row] = if (base[row] == 0.0) latency else minOf(base[row] * BASE_GROWTH, latency)
-        if (latency > GROWN * base[row] && limits[row] > 1) {
+        grownFor[row] = if (latency > GROWN * base[row] && limits[row] > 1) grownFor[row] + 1 else 0
+        if (grownFor[row] >= JUDGE_SECONDS) {
+            grownFor[row] = 0
             before[row] = latency
             limitBefore[row] = limits[row]
             lower(row)
@@ -94,6 +98,7 @@
         smooth = smooth.copyOf(to)
         before = before.copyOf(to)
         limitBefore = limitBefore.copyOf(to)
+        grownFor = grownFor.copyOf(to)
         judgeIn = judgeIn.copyOf(to)
         quiet = quiet.copyOf(to)
     }
@@ -116,7 +121,7 @@
         /** Weight of one second's latency; without it the noise of few answers starts trials all the time. */
         const val SMOOTHING = 0.3
 
-        /** Time for the smoothed latency to follow a change of the limit. */
+        /** Time for the smoothed latency to follow a change, before a trial starts and before it is judged. */
         const val JUDGE_SECONDS = 6
         const val QUIET_SECONDS = 10
     }
--- /dev/null
+++ b/decision/src/test/kotlin/io/poplarwood/decision/routing/LeaseSpec.kt
@@ -0,0 +1,156 @@
+package io.poplarwood.decision.routing
+
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.int
+import io.kotest.property.checkAll
+import io.poplarwood.api.id.UpstreamId
+import io.poplarwood.api.id.Zone
+import io.poplarwood.api.random.SplitMix
+import io.poplarwood.api.work.Rank
+import kotlinx.collections.immutable.toImmutableList
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+internal class LeaseSpec {
+    private val leasesOnly = RouterSettings(Zone("z"), shedsPerRequest = -1.0)
+
+    /** Starts and ends attempts at random; gives the most requests that were in flight at one upstream. */
+    private fun load(cell: RouterCell, random: SplitMix, steps: Int, slots: Int = Int.MAX_VALUE): Load {
+        val running = ArrayList<Pair<Int, Reservation.Granted>>()
+        val inFlight = HashMap<UpstreamId, Int>()
+        val load = Load()
+        repeat(steps) {
+            cell.pass(10.milliseconds)
+            running.removeAll { (at, granted) ->
+                val over = random.nextInt(3) == 0
+                if (over) {
+                    inFlight.merge(granted.upstream, -1, Int::plus)
+                    cell.routers[at].end(granted, AttemptResult.ANSWERED)
+                    load.answered++
+                }
+                over
+            }
+            repeat(random.nextInt(12)) {
+                val at = random.nextInt(cell.routers.size)
+                if (cell.refs[at] in cell.stopped) return@repeat
+                val granted = cell.routers[at].take()
+                if (granted == null) {
+                    cell.routers[at].backlog(intArrayOf(2, 0, 0))
+                } else {
+                    cell.routers[at].backlog(intArrayOf(0, 0, 0))
+                    if (inFlight.merge(granted.upstream, 1, Int::plus)!! > slots) {
+                        inFlight.merge(granted.upstream, -1, Int::plus)
+                        cell.routers[at].end(granted, AttemptResult.BUSY)
+                        load.shed++
+                    } else {
+                        running += at to granted
+                    }
+                }
+                load.most = maxOf(load.most, inFlight.values.maxOrNull() ?: 0)
+                cell.deliver()
+            }
+        }
+        return load
+    }
+
+    private class Load(var most: Int = 0, var answered: Int = 0, var shed: Int = 0)
+
+    /** Uses up the attempts that are allowed without a lease, so that only leases are left. */
+    private fun settled(entries: Int, upstreams: Int, seed: Int): RouterCell {
+        val cell = RouterCell(entries, upstreams, seed = seed.toLong(), settings = leasesOnly)
+        cell.pass(3.seconds)
+        for (r in cell.routers) {
+            repeat(25) { r.take(Rank.URGENT)?.let { granted -> r.end(granted, AttemptResult.ANSWERED) } }
+        }
+        cell.pass(3.seconds)
+        return cell
+    }
+
+    @Nested
+    inner class `entries with equal views` {
+        /** Guards against leases that are issued twice, which would overload upstreams without any fault. */
+        @Test
+        fun `never have more requests in flight than slots`() = runTest {
+            checkAll(PropTestConfig(seed = 11, iterations = 20), Arb.int(2..6), Arb.int(2..8), Arb.int()) {
+                e,
+                u,
+                seed,
+                ->
+                val cell = settled(e, u, seed)
+                val load = load(cell, SplitMix(seed.toLong()), 600)
+                assertTrue(load.most <= cell.slots, "${load.most} in flight at ${cell.slots} slots")
+                assertTrue(load.answered > 100, "only ${load.answered} answered")
+            }
+        }
+
+        /** Guards against leases that get lost while they move, which would waste capacity for good. */
+        @Test
+        fun `hold every lease once moves have ended`() = runTest {
+            checkAll(PropTestConfig(seed = 12, iterations = 10), Arb.int(2..6), Arb.int(2..8), Arb.int()) {
+                e,
+                u,
+                seed,
+                ->
+                val cell = settled(e, u, seed)
+                load(cell, SplitMix(seed.toLong()), 300)
+                cell.pass(5.seconds)
+                for (id in cell.ids) assertEquals(cell.slots, cell.held(id), "leases of $id")
+            }
+        }
+    }
+
+    @Nested
+    inner class `an entry that dies` {
+        /** Guards against capacity that stays lost with its holder. */
+        @Test
+        fun `gives its leases back within 3 s`() = runTest {
+            checkAll(PropTestConfig(seed = 13, iterations = 10), Arb.int(2..6), Arb.int()) { entries, seed ->
+                val cell = settled(entries, 12, seed)
+                load(cell, SplitMix(seed.toLong()), 100)
+                val dead = cell.refs.last()
+                cell.stopped += dead
+                val left = (cell.refs - dead).toImmutableList()
+                cell.routers.dropLast(1).forEach { it.entries(left) }
+                cell.pass(3.seconds)
+                for (id in cell.ids) assertTrue(cell.held(id) >= cell.slots, "${cell.held(id)} leases of $id")
+            }
+        }
+    }
+
+    @Nested
+    inner class `entries whose views differ` {
+        /** Guards against a design in which a wrong view does more harm than a shed response. */
+        @Test
+        fun `cause sheds and go on serving`() {
+            val cell = settled(4, 6, 5)
+            val half = cell.refs.take(2).toImmutableList()
+            cell.routers[0].entries(half)
+            cell.routers[1].entries(half)
+            cell.routers[2].entries(cell.refs.drop(2).toImmutableList())
+            val load = load(cell, SplitMix(5), 1000, cell.slots)
+            assertTrue(load.most <= cell.slots + 1)
+            assertTrue(load.answered > 1000, "only ${load.answered} answered")
+        }
+    }
+
+    @Nested
+    inner class `an entry that was paused` {
+        /** Guards against the use of leases that have been issued to others meanwhile. */
+        @Test
+        fun `drops its leases`() {
+            val cell = settled(1, 4, 6)
+            cell.stopped += cell.refs[0]
+            cell.pass(3.seconds)
+            cell.stopped.clear()
+            cell.routers[0].tick()
+            val held = cell.routers[0].table().sumOf { it.limit }
+            assertTrue(held == 0, "$held leases kept")
+        }
+    }
+}
