--- a/decision/src/main/kotlin/io/poplarwood/decision/routing/SlotRouter.kt
+++ b/decision/src/main/kotlin/io/poplarwood/decision/routing/SlotRouter.kt
@@ -169,6 +169,6 @@
         const val EVIDENCE_MICROS = 100_000L
 
         /** Median latencies that urgent work waits for a lease of a fast upstream before it takes a slow one. */
-        const val PATIENCE = 1.0
+        const val PATIENCE = 3.0
     }
 }
