--- /dev/null
+++ b/decision/src/main/kotlin/io/poplarwood/decision/admission/ClassQueue.kt
@@ -0,0 +1,33 @@
+package io.poplarwood.decision.admission
+
+import io.poplarwood.api.work.ClassSpec
+import io.poplarwood.decision.retry.RetryBudget
+import kotlin.time.Duration
+
+/**
+ * Row of one class: its waiting calls, the slots it holds and what it is owed.
+ *
+ * @property inUse slots that its attempts hold now
+ * @property load smoothed [inUse]
+ * @property credit slot time in seconds that the class is below its kept share; negative when above
+ */
+internal class ClassQueue(var spec: ClassSpec, val budget: RetryBudget) {
+    val calls = ArrayDeque<WaitingCall>()
+    val serviceTime = ServiceTime()
+    val drain = DrainRate()
+    var inUse = 0
+    var load = 0.0
+    var credit = 0.0
+
+    /** True when its next call goes before every rank. */
+    val belowShare: Boolean get() = calls.isNotEmpty() && credit > 0.0 && spec.target.keepShare != null
+
+    /** Removes and returns the waiting calls for which [gone] holds. */
+    inline fun removeIf(gone: (WaitingCall) -> Boolean): List<WaitingCall> {
+        val removed = calls.filter { gone(it) }
+        if (removed.isNotEmpty()) calls.removeAll(removed.toSet())
+        return removed
+    }
+
+    fun heldSince(): Duration? = calls.firstOrNull()?.queuedAt
+}
--- /dev/null
+++ b/decision/src/main/kotlin/io/poplarwood/decision/admission/WaitingCall.kt
@@ -0,0 +1,32 @@
+package io.poplarwood.decision.admission
+
+import io.poplarwood.api.id.UpstreamId
+import io.poplarwood.api.outcome.RetryReason
+import io.poplarwood.decision.dispatch.Call
+import io.poplarwood.decision.explain.ExplainRecord
+import io.poplarwood.decision.retry.AttemptHistory
+import io.poplarwood.decision.routing.SlotId
+import kotlin.time.Duration
+
+/**
+ * Row of one call at its dispatcher, from arrival to the final answer.
+ *
+ * @property queuedAt reading of the ticker at which it last began to wait
+ * @property dispatchedAt reading of the ticker at its latest dispatch
+ * @property charged slot time in seconds that its class was charged at dispatch
+ * @property readyAt earliest reading of the ticker for its next attempt
+ */
+internal class WaitingCall(val call: Call, val queue: ClassQueue, var record: ExplainRecord) {
+    val history = AttemptHistory()
+    val tried = ArrayList<UpstreamId>(0)
+    var queuedAt: Duration = call.arrived
+    var dispatchedAt: Duration = Duration.ZERO
+    var readyAt: Duration = Duration.ZERO
+    var charged = 0.0
+    var retry: RetryReason? = null
+    var slot: SlotId? = null
+    var cancelled = false
+    var alone = false
+
+    val running: Boolean get() = slot != null
+}
--- /dev/null
+++ b/decision/src/main/kotlin/io/poplarwood/decision/explain/AdmittedBy.kt
@@ -0,0 +1,16 @@
+package io.poplarwood.decision.explain
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Why a waiting call got a slot before the others. */
+@Serializable
+enum class AdmittedBy {
+    /** No call of a higher rank could use the slot. */
+    @SerialName("rank")
+    RANK,
+
+    /** Its class was below its kept share. */
+    @SerialName("kept-share")
+    KEPT_SHARE,
+}
--- /dev/null
+++ b/decision/src/main/kotlin/io/poplarwood/decision/retry/RetryPolicy.kt
@@ -0,0 +1,84 @@
+package io.poplarwood.decision.retry
+
+import io.poplarwood.api.outcome.RefusalReason
+import io.poplarwood.api.outcome.RetryReason
+import io.poplarwood.api.random.Randomness
+import io.poplarwood.decision.dispatch.Call
+import io.poplarwood.decision.dispatch.DispatcherSettings
+import io.poplarwood.decision.routing.AttemptResult
+import kotlin.time.Duration
+
+/**
+ * Decides whether a call gets a further attempt.
+ *
+ * Answers "busy" and "draining" cost an upstream next to nothing and are bounded by the number of attempts alone; all
+ * other retries also draw on the class's budget. A server error is the upstream's own answer and went to the caller
+ * already, so it is never retried.
+ */
+internal class RetryPolicy(
+    private val settings: DispatcherSettings,
+    private val shed: ShedMonitor,
+    private val random: Randomness,
+) {
+    /** [budget] belongs to the call's class; [history] includes the attempt that just ended. */
+    fun decide(call: Call, history: AttemptHistory, budget: RetryBudget, now: Duration): RetryDecision {
+        val result = history.last
+        if (result == null || result.answered) return RetryDecision.Done
+        val reason = retryReason(result)
+        val spent = history.attempts >= settings.maxAttempts || now >= call.deadline || shed.shedding
+        if (reason == null || spent || !mayRepeat(call, result)) return giveUp(call, history)
+        val free = result == AttemptResult.BUSY || result == AttemptResult.DRAINING
+        if (!free && !budget.take(now)) return giveUp(call, history, budgetSpent = true)
+        return RetryDecision.Again(reason, delay(history.attempts, free))
+    }
+
+    /** The final answer for a call that gets no further attempt. */
+    fun giveUp(call: Call, history: AttemptHistory, budgetSpent: Boolean = false): RetryDecision.GiveUp =
+        RetryDecision.GiveUp(finalReason(call, history, budgetSpent))
+
+    private fun mayRepeat(call: Call, result: AttemptResult): Boolean = when {
+        result == AttemptResult.CONNECT_FAILED -> true
+        result.provenNotRun -> call.replayable
+        else -> call.idempotent && call.replayable && call.mayRetry
+    }
+
+    private fun delay(attempts: Int, free: Boolean): Duration {
+        if (free && attempts == 1) return Duration.ZERO
+        val bound = settings.retryDelay * (1 shl (attempts - 1).coerceAtMost(MAX_DOUBLINGS))
+        return bound * random.nextDouble()
+    }
+
+    private companion object {
+        const val MAX_DOUBLINGS = 4
+    }
+}
+
+private fun retryReason(result: AttemptResult): RetryReason? = when (result) {
+    AttemptResult.BUSY -> RetryReason.UPSTREAM_BUSY
+    AttemptResult.DRAINING -> RetryReason.UPSTREAM_DRAINING
+    AttemptResult.CONNECT_FAILED -> RetryReason.CONNECT_FAILED
+    AttemptResult.CONNECTION_LOST -> RetryReason.CONNECTION_LOST
+    AttemptResult.CONNECTION_SILENT -> RetryReason.CONNECTION_SILENT
+    else -> null
+}
+
+private fun finalReason(call: Call, history: AttemptHistory, budgetSpent: Boolean): RefusalReason = when {
+    !history.mayHaveRun -> notRunReason(history.last)
+    !call.idempotent -> unknownReason(history.last)
+    history.last == AttemptResult.TIMED_OUT -> RefusalReason.DEADLINE_WHILE_RUNNING
+    budgetSpent -> RefusalReason.RETRY_BUDGET_SPENT
+    else -> RefusalReason.ATTEMPTS_SPENT
+}
+
+private fun notRunReason(last: AttemptResult?): RefusalReason = when (last) {
+    AttemptResult.BUSY -> RefusalReason.UPSTREAM_BUSY
+    AttemptResult.DRAINING -> RefusalReason.UPSTREAM_DRAINING
+    AttemptResult.CONNECT_FAILED -> RefusalReason.CONNECT_FAILED
+    else -> RefusalReason.WAIT_TOO_LONG
+}
+
+private fun unknownReason(last: AttemptResult?): RefusalReason = when (last) {
+    AttemptResult.CONNECTION_SILENT -> RefusalReason.CONNECTION_SILENT
+    AttemptResult.TIMED_OUT -> RefusalReason.ANSWER_TIMEOUT
+    else -> RefusalReason.CONNECTION_LOST
+}
--- /dev/null
+++ b/decision/src/main/kotlin/io/poplarwood/decision/retry/ShedMonitor.kt
@@ -0,0 +1,21 @@
+package io.poplarwood.decision.retry
+
+/**
+ * Tells whether the service as a whole sheds, from the part of the latest attempts answered "busy".
+ *
+ * While it does, a further attempt would only add load to a service that has none to spare.
+ */
+internal class ShedMonitor(private val threshold: Double) {
+    private var busyPart = 0.0
+
+    val shedding: Boolean get() = busyPart > threshold
+
+    fun record(busy: Boolean) {
+        busyPart += WEIGHT * ((if (busy) 1.0 else 0.0) - busyPart)
+    }
+
+    private companion object {
+        /** About the latest 40 attempts count. */
+        const val WEIGHT = 0.05
+    }
+}
