--- /dev/null
+++ b/entry/src/main/kotlin/io/poplarwood/entry/forward/RequestBody.kt
@@ -0,0 +1,20 @@
+package io.poplarwood.entry.forward
+
+import io.ktor.utils.io.ByteWriteChannel
+
+/** Body of a request on its way to an upstream. */
+internal sealed interface RequestBody {
+    /** No body at all. */
+    data object None : RequestBody
+
+    /** A body at hand, which can be sent any number of times. */
+    class Kept(val bytes: ByteArray) : RequestBody
+
+    /**
+     * A body that is still arriving and can be sent once.
+     *
+     * @property length declared length; null when it comes in chunks
+     * @property copy writes the whole body to a channel and fails when it arrives incomplete
+     */
+    class Arriving(val length: Long?, val copy: suspend (ByteWriteChannel) -> Unit) : RequestBody
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/poplarwood/entry/http/AnswerCut.kt
@@ -0,0 +1,6 @@
+package io.poplarwood.entry.http
+
+import java.io.IOException
+
+/** The upstream's answer ended early after its head had gone to the caller. */
+internal class AnswerCut(cause: Throwable?) : IOException("the upstream's answer ended early", cause)
--- /dev/null
+++ b/entry/src/main/kotlin/io/poplarwood/entry/http/RefusalAnswer.kt
@@ -0,0 +1,41 @@
+package io.poplarwood.entry.http
+
+import io.ktor.http.HttpHeaders
+import io.poplarwood.api.http.Headers
+import io.poplarwood.api.id.RequestId
+import io.poplarwood.api.outcome.Refusal
+import kotlinx.serialization.json.Json
+
+/** A refusal as status, headers and JSON body. */
+internal class RefusalAnswer(refusal: Refusal, id: RequestId) {
+    private val reason = refusal.reason
+    private val retryAfterMs = refusal.retryAfter?.inWholeMilliseconds
+
+    /** HTTP status. */
+    val status: Int = reason.status
+
+    /** Typed headers, with the content type. */
+    val headers: List<Pair<String, String>> =
+        buildList {
+            add(HttpHeaders.ContentType to "application/json")
+            add(Headers.OUTCOME to reason.kind.wire)
+            add(Headers.REASON to reason.wire)
+            add(Headers.REQUEST_ID to id.value)
+            if (retryAfterMs != null) {
+                add(HttpHeaders.RetryAfter to ((retryAfterMs + MS_PER_SECOND - 1) / MS_PER_SECOND).toString())
+                add(Headers.RETRY_AFTER_MS to retryAfterMs.toString())
+            }
+        }
+
+    /** JSON body. */
+    val body: ByteArray =
+        Json.encodeToString(
+            RefusalBody.serializer(),
+            RefusalBody(reason.kind.wire, reason.wire, id.value, retryAfterMs),
+        )
+            .encodeToByteArray()
+
+    private companion object {
+        const val MS_PER_SECOND = 1_000L
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/poplarwood/entry/http/RequestReader.kt
@@ -0,0 +1,122 @@
+package io.poplarwood.entry.http
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.binding
+import com.github.michaelbull.result.toResultOr
+import io.ktor.http.HttpHeaders
+import io.ktor.server.request.ApplicationRequest
+import io.ktor.server.request.httpMethod
+import io.ktor.server.request.uri
+import io.poplarwood.api.http.Headers
+import io.poplarwood.api.id.ClassName
+import io.poplarwood.api.id.RequestId
+import io.poplarwood.api.id.ServiceName
+import io.poplarwood.api.outcome.Refusal
+import io.poplarwood.api.outcome.RefusalReason
+import io.poplarwood.api.time.Ticker
+import io.poplarwood.api.work.ClassSpec
+import io.poplarwood.api.work.Rank
+import io.poplarwood.api.work.ServiceDocument
+import io.poplarwood.decision.dispatch.Call
+import io.poplarwood.decision.dispatch.CallId
+import io.poplarwood.entry.settings.HttpSettings
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Finds out what a request is for: service, class, deadline, depth. */
+internal class RequestReader(
+    private val settings: HttpSettings,
+    private val documents: (ServiceName) -> ServiceDocument?,
+    private val ticker: Ticker,
+) {
+    private val calls = AtomicLong()
+
+    /** The request as the decisions see it, or why it cannot be taken in. */
+    fun read(request: ApplicationRequest, id: RequestId): Result<Inbound, Refusal> =
+        binding {
+            val host = given(request.headers[HttpHeaders.Host], RefusalReason.MALFORMED).bind()
+            val name = request.headers[Headers.SERVICE] ?: host.substringBefore(':').substringBefore('.')
+            val service = ServiceName(name)
+            val document = given(documents(service), RefusalReason.UNKNOWN_SERVICE).bind()
+            val workClass = given(classOf(request, document), RefusalReason.UNKNOWN_CLASS).bind()
+            val depth = given(number(request, Headers.DEPTH, 0), RefusalReason.MALFORMED).bind()
+            allowed(depth <= MAX_DEPTH, RefusalReason.DEPTH_EXCEEDED).bind()
+            val remaining = number(request, Headers.DEADLINE_MS, workClass.deadlineMs).toResultOr {
+                Refusal(RefusalReason.MALFORMED)
+            }.bind()
+            allowed(remaining > 0, RefusalReason.DEADLINE_PASSED).bind()
+            val length = bodyLength(request)
+            if (length != null &&
+                length > workClass.maxBodyBytes
+            ) {
+                Err(Refusal(RefusalReason.BODY_TOO_LARGE)).bind<Unit>()
+            }
+            val call = callOf(request, id, service, workClass, remaining, length)
+            val rank = rankOf(request, depth, workClass)
+            Inbound(service, workClass, call, request.httpMethod.value, request.uri, depth.toInt(), rank, length)
+        }
+
+    private fun callOf(
+        request: ApplicationRequest,
+        id: RequestId,
+        service: ServiceName,
+        workClass: ClassSpec,
+        remainingMs: Long,
+        length: Long?,
+    ): Call {
+        val method = request.httpMethod.value
+        val path = request.uri.substringBefore('?')
+        val now = ticker.now()
+        return Call(
+            id = CallId(calls.incrementAndGet()),
+            request = id,
+            workClass = workClass.name,
+            idempotent = workClass.idempotent ?: (method in IDEMPOTENT_METHODS),
+            arrived = now,
+            deadline = now + remainingMs.milliseconds,
+            replayable = length != null && length <= settings.keptBodyBytes,
+            mayRetry = request.headers[Headers.RETRY] != "no",
+            fingerprint = RequestFingerprint.of(service.value, method, path, request.headers[Headers.IDEMPOTENCY_KEY]),
+        )
+    }
+
+    private fun classOf(request: ApplicationRequest, document: ServiceDocument): ClassSpec? {
+        val named = request.headers[Headers.CLASS]
+        if (named != null) return document.classNamed(ClassName(named))
+        return document.classify(request.httpMethod.value, request.uri.substringBefore('?'))
+    }
+
+    private fun bodyLength(request: ApplicationRequest): Long? {
+        val length = request.headers[HttpHeaders.ContentLength]?.toLongOrNull()
+        if (length != null) return length
+        return if (request.headers[HttpHeaders.TransferEncoding] == null) 0 else null
+    }
+
+    /** The rank of an outer entry is kept along a chain of calls; the first call takes that of its class. */
+    private fun rankOf(request: ApplicationRequest, depth: Long, workClass: ClassSpec): String {
+        val given = request.headers[Headers.RANK]?.takeIf { depth > 0 && it in RANKS }
+        return given ?: workClass.rank.name.lowercase()
+    }
+
+    private fun number(request: ApplicationRequest, header: String, absent: Long): Long? {
+        val text = request.headers[header] ?: return absent
+        return text.toLongOrNull()?.takeIf { it >= 0 }
+    }
+
+    private fun <T : Any> given(value: T?, reason: RefusalReason): Result<T, Refusal> = value.toResultOr {
+        Refusal(reason)
+    }
+
+    private fun allowed(condition: Boolean, reason: RefusalReason): Result<Unit, Refusal> =
+        if (condition) Ok(Unit) else Err(Refusal(reason))
+
+    private companion object {
+        const val MAX_DEPTH = 16
+        val RANKS = Rank.entries.map { it.name.lowercase() }.toSet()
+
+        /** RFC 9110, 9.2.2. */
+        val IDEMPOTENT_METHODS = setOf("GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE")
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/poplarwood/entry/metrics/EntryMetrics.kt
@@ -0,0 +1,109 @@
+package io.poplarwood.entry.metrics
+
+import io.poplarwood.api.outcome.RefusalReason
+import io.poplarwood.api.outcome.RetryReason
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Gauge
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import io.prometheus.metrics.model.snapshots.Unit
+import java.io.ByteArrayOutputStream
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
+
+/** Metrics of the data path; docs/metrics.md lists them. Every reason is registered at zero. */
+class EntryMetrics(private val registry: PrometheusRegistry = PrometheusRegistry()) {
+    private val requests =
+        counter("poplarwood_requests", "Requests by their final outcome.", "service", "class", "outcome")
+    private val refusals = counter("poplarwood_refusals", "Answers that are not the upstream's own.", "reason")
+    private val retries = counter("poplarwood_retries", "Further attempts.", "reason")
+    private val attempts = counter("poplarwood_attempts", "Attempts by their result.", "result")
+    private val silent =
+        counter("poplarwood_silent_connections", "Upstream connections closed because they went silent.")
+    private val probes =
+        counter("poplarwood_silence_probes", "Fresh connections opened to tell silent from slow.", "result")
+    private val requestBytes = counter("poplarwood_request_body", "Bytes of request bodies.", unit = Unit.BYTES)
+    private val answerBytes = counter("poplarwood_answer_body", "Bytes of answer bodies.", unit = Unit.BYTES)
+    private val cutAnswers =
+        counter("poplarwood_cut_answers", "Answers cut towards the caller because the upstream's was.")
+    private val inFlight =
+        Gauge.builder().name("poplarwood_in_flight").help("Requests that have no final answer yet.").register(registry)
+    private val callers =
+        Gauge.builder().name("poplarwood_caller_connections").help("Open connections of callers.").register(registry)
+    private val latency =
+        Histogram.builder().name(
+            "poplarwood_latency",
+        ).unit(Unit.SECONDS).help("Time from arrival to the end of the answer.")
+            .labelNames("service", "class").classicOnly().classicUpperBounds(*LATENCY_BOUNDS).register(registry)
+
+    private val refusalOf = RefusalReason.entries.map { refusals.labelValues(it.wire) }
+    private val retryOf = RetryReason.entries.map { retries.labelValues(it.wire) }
+
+    /** Counts an answer that is not the upstream's own. */
+    fun refused(reason: RefusalReason) = refusalOf[reason.ordinal].inc()
+
+    /** Counts a further attempt. */
+    fun retried(reason: RetryReason) = retryOf[reason.ordinal].inc()
+
+    /** Counts an attempt that ended with [result]. */
+    fun attempted(result: String) = attempts.labelValues(result).inc()
+
+    /** Counts an upstream connection closed because it went silent. */
+    fun silentConnection() = silent.inc()
+
+    /** Counts a fresh connection opened to tell silent from slow. */
+    fun silenceProbe(answered: Boolean) = probes.labelValues(if (answered) "answered" else "unanswered").inc()
+
+    /** Counts an answer that was cut towards the caller. */
+    fun cutAnswer() = cutAnswers.inc()
+
+    /** Counts bytes of a request body taken from a caller. */
+    fun requestBytes(count: Long) = requestBytes.inc(count.toDouble())
+
+    /** Counts bytes of an answer body given to a caller. */
+    fun answerBytes(count: Long) = answerBytes.inc(count.toDouble())
+
+    /** Counts a request that was taken in. */
+    fun started() = inFlight.inc()
+
+    /** Counts the end of a request that [started] counted. */
+    fun ended() = inFlight.dec()
+
+    /** Counts a new connection of a caller. */
+    fun callerConnected() = callers.inc()
+
+    /** Counts the end of a caller's connection. */
+    fun callerDisconnected() = callers.dec()
+
+    /** Counts a request's final [outcome]: `answered` or the wire value of an outcome kind. */
+    fun finished(service: String, workClass: String, outcome: String, took: Duration) {
+        requests.labelValues(service, workClass, outcome).inc()
+        latency.labelValues(service, workClass).observe(took.toDouble(DurationUnit.SECONDS))
+    }
+
+    /** All metrics in the Prometheus text format. */
+    fun exposition(): ByteArray {
+        val out = ByteArrayOutputStream()
+        PrometheusTextFormatWriter.builder().build().write(out, registry.scrape())
+        return out.toByteArray()
+    }
+
+    /** Name and help text of each metric, for the page that lists them. */
+    fun catalogue(): Map<String, String> =
+        registry.scrape().associate { it.metadata.prometheusName to it.metadata.help.orEmpty() }
+
+    private fun counter(
+        name: String,
+        help: String,
+        vararg labels: String,
+        unit: Unit? = null,
+    ): Counter =
+        Counter.builder().name(name).help(help).labelNames(*labels)
+            .apply { if (unit != null) unit(unit) }.register(registry)
+
+    private companion object {
+        val LATENCY_BOUNDS =
+            doubleArrayOf(0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0)
+    }
+}
--- /dev/null
+++ b/entry/src/test/kotlin/io/poplarwood/entry/http/CallServerSpec.kt
@@ -0,0 +1,82 @@
+package io.poplarwood.entry.http
+
+import io.poplarwood.entry.support.Path
+import io.poplarwood.entry.support.RawUpstream
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+class CallServerSpec {
+    @Nested
+    inner class `a request that is taken in` {
+        /** Guards against a request that is changed on its way or an answer that loses its load report. */
+        @Test
+        fun `reaches the upstream as sent and brings the answer back`() {
+            Path(serve = {
+                answering("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nPoplarwood-Load: 2/3\r\nX-A: b\r\n\r\nhello")
+            })
+                .use { path ->
+                    val answer = path.caller().use {
+                        it.send("GET /a%2Fb?c=%20d HTTP/1.1\r\nHost: counter.local\r\nX-Q: 1\r\n\r\n").answer()
+                    }
+                    assertEquals(200, answer.status)
+                    assertEquals("hello", answer.body)
+                    assertEquals("b", answer.header("X-A"))
+                    val head = path.upstream.heads.single()
+                    assertContains(head, "GET /a%2Fb?c=%20d HTTP/1.1\r\n")
+                    assertContains(head, "Host: counter.local\r\n")
+                    assertContains(head, "X-Q: 1\r\n")
+                    assertContains(head, "Poplarwood-Rank: urgent\r\n")
+                    assertContains(head, "Poplarwood-Depth: 1\r\n")
+                    assertContains(head, "Poplarwood-Retry: no\r\n")
+                    assertContains(head, "Poplarwood-Request-Id: ${answer.header("Poplarwood-Request-Id")}\r\n")
+                    assertTrue(head.lines().any { it.startsWith("Poplarwood-Deadline-Ms: ") })
+                    assertFalse(head.contains("Poplarwood-Exchange"))
+                    assertContains(head, "User-Agent: poplarwood\r\n")
+                    assertEquals(2, path.runner.evidence.single().reportedInFlight)
+                    assertEquals(3, path.runner.evidence.single().reportedSlots)
+                }
+        }
+
+        /** Guards against a body that is lost or sent with another length. */
+        @Test
+        fun `carries its body`() {
+            Path(serve = {
+                head()
+                skip(10)
+                send("HTTP/1.1 201 Created\r\nContent-Length: 0\r\n\r\n")
+            }).use { path ->
+                val answer =
+                    path.caller().use {
+                        it.send("POST /x HTTP/1.1\r\nHost: counter\r\nContent-Length: 10\r\n\r\n0123456789").answer()
+                    }
+                assertEquals(201, answer.status)
+                assertContains(path.upstream.heads.single(), "Content-Length: 10\r\n")
+            }
+        }
+    }
+
+    @Nested
+    inner class `a refusal` {
+        /** Guards against a refusal that a caller cannot tell from an upstream's answer. */
+        @Test
+        fun `is typed in status, headers and body`() {
+            Path().use { path ->
+                val answer = path.caller().use { it.send("GET / HTTP/1.1\r\nHost: nowhere\r\n\r\n").answer() }
+                assertEquals(404, answer.status)
+                assertEquals("not-run", answer.header("Poplarwood-Outcome"))
+                assertEquals("unknown-service", answer.header("Poplarwood-Reason"))
+                assertContains(answer.body, "\"reason\":\"unknown-service\"")
+                assertContains(answer.body, answer.header("Poplarwood-Request-Id").orEmpty())
+            }
+        }
+    }
+}
+
+/** Answers every request that has no body with [text]. */
+internal fun RawUpstream.Connection.answering(text: String) {
+    while (head() != null) send(text)
+}
--- /dev/null
+++ b/entry/src/test/kotlin/io/poplarwood/entry/support/Path.kt
@@ -0,0 +1,76 @@
+package io.poplarwood.entry.support
+
+import io.poplarwood.api.id.ClassName
+import io.poplarwood.api.id.ServiceName
+import io.poplarwood.api.time.Ticker
+import io.poplarwood.api.work.ClassSpec
+import io.poplarwood.api.work.MatchRule
+import io.poplarwood.api.work.Rank
+import io.poplarwood.api.work.ServiceDocument
+import io.poplarwood.api.work.Target
+import io.poplarwood.entry.http.CallServer
+import io.poplarwood.entry.metrics.EntryMetrics
+import io.poplarwood.entry.runtime.CallRunner
+import io.poplarwood.entry.settings.HttpSettings
+import kotlinx.coroutines.runBlocking
+import kotlin.time.Duration.Companion.nanoseconds
+
+/** A call server in front of one scripted upstream. */
+internal class Path(
+    settings: HttpSettings = HttpSettings(),
+    attempts: Int = 1,
+    upstreamAddress: String? = null,
+    wrap: (OneUpstream) -> CallRunner = { it },
+    serve: RawUpstream.Connection.() -> Unit = {},
+) : AutoCloseable {
+    val upstream = RawUpstream(serve)
+    val runner = OneUpstream(upstreamAddress ?: upstream.address, attempts)
+    val metrics = EntryMetrics()
+    private val wrapped = wrap(runner)
+    val server =
+        CallServer(
+            settings = settings.copy(host = "127.0.0.1", port = 0),
+            documents = { if (it == SERVICE) DOCUMENT else null },
+            runners = { if (it == SERVICE) wrapped else null },
+            ticker = TICKER,
+            metrics = metrics,
+        )
+
+    init {
+        runBlocking { server.start() }
+    }
+
+    fun caller(timeoutMs: Int = 10_000) = RawCaller(server.port, timeoutMs)
+
+    override fun close() {
+        runBlocking { server.stop() }
+        upstream.close()
+    }
+
+    companion object {
+        val SERVICE = ServiceName("counter")
+        val TICKER = Ticker { System.nanoTime().nanoseconds }
+        val DOCUMENT =
+            ServiceDocument(
+                service = SERVICE,
+                classes =
+                    listOf(
+                        ClassSpec(ClassName("checks"), Rank.URGENT, Target(servedWithinMs = 100)),
+                        ClassSpec(
+                            ClassName("uploads"),
+                            Rank.STANDARD,
+                            Target(keepShare = 0.3),
+                            match = listOf(MatchRule(pathPrefix = "/up")),
+                        ),
+                        ClassSpec(
+                            ClassName("small"),
+                            Rank.BACKGROUND,
+                            Target(keepShare = 0.1),
+                            match = listOf(MatchRule(pathPrefix = "/small")),
+                            maxBodyBytes = 1000,
+                        ),
+                    ),
+                defaultClass = ClassName("checks"),
+            )
+    }
+}
