Run a request with an idempotency key at most once

Cause: a resend through another entry, a killed entry or a lost answer of the store must not make a print order run twice.

Change: issued keys name the run of an entry that may dispatch them; KeyTable keeps their records and small answers; a caller's own key is claimed by one conditional insert. A search visits every order of three sends and two faults over the shipped code.

Conclusion: the owner in the key replaces any agreement on membership.

--- /dev/null
+++ b/decision/src/main/kotlin/io/poplarwood/decision/once/KeyOutcome.kt
@@ -0,0 +1,12 @@
+package io.poplarwood.decision.once
+
+import io.poplarwood.api.outcome.RefusalReason
+
+/** How a request with a key ended, as its resends see it. */
+sealed interface KeyOutcome {
+    /** The upstream answered. [answer] is null when it was too large to keep. */
+    data class Answered(val answer: StoredAnswer?) : KeyOutcome
+
+    /** The system answered. */
+    data class Refused(val reason: RefusalReason) : KeyOutcome
+}
--- /dev/null
+++ b/decision/src/main/kotlin/io/poplarwood/decision/once/KeyRoute.kt
@@ -0,0 +1,19 @@
+package io.poplarwood.decision.once
+
+import io.poplarwood.api.id.EntryRef
+import io.poplarwood.api.outcome.RefusalReason
+
+/** Where a request with a key is decided. */
+sealed interface KeyRoute {
+    /** Here: this run owns [key]. */
+    data class Here(val key: IssuedKey) : KeyRoute
+
+    /** At [owner], through the peer link. */
+    data class Forward(val owner: EntryRef) : KeyRoute
+
+    /** Nowhere: the request may have run and nobody may run it now. */
+    data class Unknown(val reason: RefusalReason) : KeyRoute
+
+    /** A caller's own key, which has no owner until it is claimed in the table. */
+    data object Claim : KeyRoute
+}
--- /dev/null
+++ b/decision/src/main/kotlin/io/poplarwood/decision/once/KeyTable.kt
@@ -0,0 +1,127 @@
+package io.poplarwood.decision.once
+
+import io.poplarwood.api.outcome.OutcomeKind
+import io.poplarwood.api.outcome.RefusalReason
+import kotlinx.coroutines.CompletableDeferred
+
+/**
+ * Records of the keys that one run of an entry owns. Safe for use from several threads.
+ *
+ * A record of a request that ran, or may have run, stays until its key's lifetime is over, and a key past its lifetime
+ * never runs. Both are judged by the highest clock reading seen, so that a clock set back cannot make a key whose
+ * record is gone look fresh.
+ */
+class KeyTable(private val settings: KeyTableSettings = KeyTableSettings()) {
+    private class Record(val fingerprint: Long, var issuedMs: Long) {
+        val outcome = CompletableDeferred<KeyOutcome>()
+        var answerBytes = 0
+        var known: KeyOutcome? = null
+    }
+
+    private val records = LinkedHashMap<String, Record>()
+    private val withAnswer = ArrayDeque<Record>()
+    private var answerBytes = 0L
+    private var latestMs = Long.MIN_VALUE
+
+    /** Records held now. */
+    val size: Int get() = synchronized(this) { records.size }
+
+    /** Bytes of stored answers held now. */
+    val storedBytes: Long get() = synchronized(this) { answerBytes }
+
+    /**
+     * Takes in a request with [key].
+     *
+     * @param issuedMs time of the key's issue, or of its claim
+     * @param fingerprint identifies the request; a key that returns with another one is a mistake of the caller
+     */
+    @Synchronized
+    fun open(key: String, issuedMs: Long, fingerprint: Long, nowMs: Long): KeyAdmission {
+        latestMs = maxOf(latestMs, nowMs)
+        val known = records[key]
+        return when {
+            expired(issuedMs) -> refuse(RefusalReason.KEY_EXPIRED)
+            known != null && known.fingerprint != fingerprint -> refuse(RefusalReason.MALFORMED)
+            known != null -> known.known?.let { KeyAdmission.Known(it) } ?: KeyAdmission.Join(known.outcome)
+            records.size >= settings.maxRecords -> refuse(RefusalReason.OVERLOADED)
+            else -> {
+                records[key] = Record(fingerprint, issuedMs)
+                KeyAdmission.Run
+            }
+        }
+    }
+
+    /** Ends the run of [key]. What may have run is remembered; what did not, or may run again, is forgotten. */
+    fun close(key: String, outcome: KeyOutcome) {
+        val record: Record
+        synchronized(this) {
+            record = records[key] ?: return
+            if (record.known != null) return
+            when (outcome) {
+                is KeyOutcome.Answered -> store(record, outcome)
+                is KeyOutcome.Refused -> when (outcome.reason.kind) {
+                    OutcomeKind.NOT_RUN, OutcomeKind.FAILED -> records.remove(key)
+                    OutcomeKind.UNKNOWN -> record.known = outcome
+                }
+            }
+        }
+        record.outcome.complete(record.known ?: outcome)
+    }
+
+    /** Ends a run of [key] that took place at another entry, which keeps the record. */
+    fun release(key: String, outcome: KeyOutcome) {
+        val record = synchronized(this) { records.remove(key) } ?: return
+        record.outcome.complete(outcome)
+    }
+
+    /** Drops records whose keys are past their lifetime. A request in flight keeps its record. */
+    @Synchronized
+    fun sweep(nowMs: Long) {
+        latestMs = maxOf(latestMs, nowMs)
+        val old = records.values.iterator()
+        while (old.hasNext()) {
+            val record = old.next()
+            if (record.known == null || !expired(record.issuedMs)) continue
+            old.remove()
+            dropAnswer(record)
+            withAnswer.remove(record)
+        }
+    }
+
+    /** True when a key issued at [issuedMs] is past its lifetime, or from too far in the future to be a real one. */
+    @Synchronized
+    fun expired(issuedMs: Long, nowMs: Long): Boolean {
+        latestMs = maxOf(latestMs, nowMs)
+        return expired(issuedMs)
+    }
+
+    private fun expired(issuedMs: Long): Boolean =
+        latestMs - issuedMs >= settings.lifetime.inWholeMilliseconds ||
+            issuedMs - latestMs > settings.maxClockLead.inWholeMilliseconds
+
+    private fun store(record: Record, outcome: KeyOutcome.Answered) {
+        val answer = outcome.answer?.takeIf { it.bytes <= StoredAnswer.MAX_BYTES }
+        if (answer == null) {
+            record.known = NOT_KEPT
+            return
+        }
+        record.known = outcome
+        record.answerBytes = answer.bytes
+        answerBytes += answer.bytes
+        withAnswer.addLast(record)
+        while (answerBytes > settings.maxAnswerBytes) dropAnswer(withAnswer.removeFirst())
+    }
+
+    private fun dropAnswer(record: Record) {
+        if (record.answerBytes == 0) return
+        answerBytes -= record.answerBytes
+        record.answerBytes = 0
+        record.known = NOT_KEPT
+    }
+
+    private fun refuse(reason: RefusalReason) = KeyAdmission.Known(KeyOutcome.Refused(reason))
+
+    private companion object {
+        val NOT_KEPT = KeyOutcome.Refused(RefusalReason.KEY_ANSWER_NOT_KEPT)
+    }
+}
--- /dev/null
+++ b/decision/src/main/kotlin/io/poplarwood/decision/once/StoredHeader.kt
@@ -0,0 +1,7 @@
+package io.poplarwood.decision.once
+
+import kotlinx.serialization.Serializable
+
+/** One header field of a [StoredAnswer]. */
+@Serializable
+data class StoredHeader(val name: String, val value: String)
--- /dev/null
+++ b/decision/src/test/kotlin/io/poplarwood/decision/once/OnceWorld.kt
@@ -0,0 +1,235 @@
+package io.poplarwood.decision.once
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.poplarwood.api.id.EntryId
+import io.poplarwood.api.id.EntryRef
+import io.poplarwood.api.id.Incarnation
+import io.poplarwood.api.outcome.OutcomeKind
+import io.poplarwood.api.outcome.RefusalReason
+import io.poplarwood.api.platform.Row
+import io.poplarwood.api.platform.RowWrite
+import io.poplarwood.api.platform.StoreFailure
+import io.poplarwood.api.platform.TableStore
+import io.poplarwood.api.random.SplitMix
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.launch
+
+/** Two entries that run the shipped code, one key, and every step of the outside world as a choice of the caller. */
+internal class OnceWorld(private val foreign: Boolean, private val maxSends: Int, private val maxFaults: Int) {
+    private class Step(val name: String, val at: Entry?, val fault: Boolean, val of: Any?, val act: () -> Unit)
+
+    private inner class Entry(val ref: EntryRef) : TableStore {
+        val job = Job()
+        val scope = CoroutineScope(Dispatchers.Unconfined + job)
+        val history = ArrayList<String>()
+        var paused = false
+        var doubts = false
+        private val table = KeyTable()
+        private val gate = AtMostOnce(ref, table, this, { doubts || it in dead }, { nowMs }, SplitMix(1))
+
+        fun handle(request: KeyedRequest, label: String, answer: (KeyOutcome) -> Unit) {
+            scope.launch {
+                val ports = Ports(this@Entry, label)
+                val outcome = gate.handle(request, ports)
+                if (!ports.forwarded) checkNotRun(outcome, label)
+                answer(outcome)
+            }
+        }
+
+        fun sweep() = table.sweep(nowMs)
+
+        override suspend fun read(key: String): Result<Row?, StoreFailure> {
+            val answer = CompletableDeferred<Result<Row?, StoreFailure>>()
+            offer("read ok $ref", this, answer) { answer.complete(Ok(row)) }
+            offer("read fails $ref", this, answer, fault = true) { answer.complete(Err(StoreFailure.Unavailable)) }
+            return answer.await()
+        }
+
+        override suspend fun scan(prefix: String, after: String, limit: Int) = error("not used")
+
+        override suspend fun transact(writes: List<RowWrite>): Result<Unit, StoreFailure> {
+            val answer = CompletableDeferred<Result<Unit, StoreFailure>>()
+            val value = checkNotNull(writes.single().value)
+            val lost = Err(StoreFailure.AnswerLost)
+            offer("write $ref", this, answer) { answer.complete(apply(value)) }
+            offer("write lost $ref", this, answer, fault = true) { apply(value).also { answer.complete(lost) } }
+            offer("write late $ref", this, answer, fault = true) {
+                answer.complete(lost)
+                offer("late write lands $ref", null) { apply(value) }
+            }
+            offer("write refused $ref", this, answer, fault = true) { answer.complete(Err(StoreFailure.Unavailable)) }
+            return answer.await()
+        }
+
+        private fun apply(value: ByteArray): Result<Unit, StoreFailure> {
+            val held = row
+            if (held != null) return Err(StoreFailure.Conflict(held.key, held.version))
+            row = Row("claim", 1, value)
+            return Ok(Unit)
+        }
+    }
+
+    private inner class Ports(private val at: Entry, private val label: String) : KeyPorts {
+        var forwarded = false
+
+        override suspend fun run(): KeyOutcome {
+            require(running == null && ran.isEmpty()) { "ran twice" }
+            running = label
+            val answer = CompletableDeferred<KeyOutcome>()
+            val big = KeyOutcome.Answered(null)
+            attempt("answered", KeyOutcome.Answered(StoredAnswer(200, emptyList(), ByteArray(1))), answer)
+            attempt("large answer", big, answer)
+            attempt("busy", KeyOutcome.Refused(RefusalReason.UPSTREAM_BUSY), answer)
+            attempt("upstream crashed", KeyOutcome.Refused(RefusalReason.CONNECTION_LOST), answer)
+            return answer.await()
+        }
+
+        private fun attempt(name: String, outcome: KeyOutcome, answer: CompletableDeferred<KeyOutcome>) {
+            offer("$name ${at.ref} $label", at, answer) {
+                at.history += name
+                running = null
+                if (name != "busy") ran += label
+                answer.complete(outcome)
+            }
+        }
+
+        override suspend fun forward(owner: EntryRef, request: KeyedRequest): KeyOutcome {
+            forwarded = true
+            val answer = CompletableDeferred<KeyOutcome>()
+            val unreachable = KeyOutcome.Refused(RefusalReason.KEY_OWNER_UNREACHABLE)
+            val target = entries.firstOrNull { it.ref == owner }
+            offer("forward times out ${at.ref} $label", at, answer, fault = true) { answer.complete(unreachable) }
+            offer("forward $label to $owner", target) {
+                target?.handle(request, label) { offer("answer $label to ${at.ref}", at) { answer.complete(it) } }
+            }
+            return answer.await()
+        }
+    }
+
+    /** What went wrong, with the steps that led there; null while nothing has. */
+    var violation: String? = null
+        private set
+
+    private val steps = ArrayList<Step>()
+    private val entries = ArrayList<Entry>()
+    private val dead = HashSet<EntryRef>()
+    private val ran = ArrayList<String>()
+    private val results = sortedMapOf<String, String>()
+    private val trace = ArrayList<String>()
+    private var running: String? = null
+    private var row: Row? = null
+    private var nowMs = START_MS
+    private var sends = 0
+    private var faults = 0
+    private var restarts = 0
+
+    private val request: KeyedRequest
+
+    init {
+        addEntry("a", 1)
+        addEntry("b", 1)
+        val key = if (foreign) "order-1" else IssuedKey.prefix(entries[0].ref, nowMs) + "order-1"
+        request = KeyedRequest(key, "counter", 1)
+    }
+
+    /** Names of the steps that are possible now. */
+    fun choices(): List<String> = environment().map { it.name } + open().map { it.name }
+
+    fun take(index: Int) {
+        val step = (environment() + open())[index]
+        trace += step.name
+        if (step.fault) faults++
+        steps.removeAll { it === step || (step.of != null && it.of === step.of) }
+        step.act()
+    }
+
+    /** Equal for states that no later step can tell apart. */
+    fun state(): String {
+        val nodes = entries.map { "${it.ref}${it.paused}${it.doubts}${it.history}" }
+        val held = row?.value?.decodeToString()
+        return "$nodes$dead${steps.map { it.name }.sorted()}$results$running$ran$held$nowMs$sends$faults"
+    }
+
+    private fun open() = steps.filter { s -> usable(s.at) && (!s.fault || faults < maxFaults) }
+
+    private fun usable(at: Entry?) = at == null || (at in entries && !at.paused)
+
+    private fun environment(): List<Step> = buildList {
+        for (e in entries) {
+            if (e.paused) {
+                add(Step("resume ${e.ref}", null, false, null) { e.paused = false })
+                continue
+            }
+            if (sends < maxSends) add(Step("send to ${e.ref}", null, false, null) { send(e) })
+            if (faults >= maxFaults) continue
+            add(Step("kill ${e.ref}", null, true, null) { kill(e) })
+            add(Step("pause ${e.ref}", null, true, null) { e.paused = true })
+            if (!e.doubts) add(Step("${e.ref} takes its peer for gone", null, true, null) { e.doubts = true })
+        }
+        if (nowMs == START_MS && sends > 0) add(Step("eleven minutes pass", null, false, null) { pass() })
+    }
+
+    private fun send(to: Entry) {
+        val label = "send${++sends}"
+        results[label] = "open"
+        to.handle(request, label) { answer ->
+            results[label] = (answer as? KeyOutcome.Refused)?.reason?.wire ?: "answered"
+            val notRun = (answer as? KeyOutcome.Refused)?.reason?.kind == OutcomeKind.NOT_RUN
+            require(!notRun || (label !in ran && label != running)) { "false not-run to $label" }
+        }
+    }
+
+    /** The owner's `not-run` must hold for the key, except that a claim that cannot be asked for speaks of one send. */
+    private fun checkNotRun(outcome: KeyOutcome, label: String) {
+        val reason = (outcome as? KeyOutcome.Refused)?.reason ?: return
+        if (reason.kind != OutcomeKind.NOT_RUN || reason == RefusalReason.CLAIM_UNAVAILABLE) return
+        require(ran.isEmpty() && running == null) { "false not-run for $label" }
+    }
+
+    /** What the dead entry had sent to an upstream or to the store may still take effect. */
+    private fun kill(e: Entry) {
+        entries.remove(e)
+        dead += e.ref
+        e.job.cancel()
+        if (steps.any { it.at === e && it.name.startsWith("answered") }) {
+            ran += checkNotNull(running)
+            running = null
+        }
+        steps.removeAll { it.at === e && !it.name.startsWith("write ") }
+        val writes = steps.filter { it.at === e }
+        steps.removeAll(writes)
+        writes.firstOrNull { it.name.startsWith("write lost") }?.let {
+            steps +=
+                Step("of the dead: ${it.name}", null, false, null, it.act)
+        }
+        if (restarts++ == 0) addEntry(e.ref.id.value, 2)
+    }
+
+    /** Notes a violation. An exception would end only the coroutine of one send. */
+    private fun require(held: Boolean, message: () -> String) {
+        if (!held && violation == null) violation = message() + ": " + trace
+    }
+
+    private fun pass() {
+        nowMs += ELEVEN_MINUTES_MS
+        entries.forEach { it.sweep() }
+    }
+
+    private fun addEntry(name: String, run: Long) {
+        entries += Entry(EntryRef(EntryId(name), Incarnation(START_MS, run)))
+    }
+
+    private fun offer(name: String, at: Entry?, of: Any? = null, fault: Boolean = false, act: () -> Unit) {
+        steps += Step(name, at, fault, of, act)
+    }
+
+    private companion object {
+        const val START_MS = 1_000_000_000_000L
+        const val ELEVEN_MINUTES_MS = 11 * 60_000L
+    }
+}
