Add the fleet node and the links between entries

Cause: the entry needs configuration, membership, upstream states and the directory, and a transport between entries, before it can be wired.

Change: FleetNode is a pure state machine over messages, ticks and store answers; FleetRunner drives it against the ports.

Conclusion: the interfaces are ready to wire.

--- a/fleet/src/main/kotlin/io/poplarwood/fleet/Module.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package io.poplarwood.fleet
-
-internal const val MODULE = "fleet"
--- /dev/null
+++ b/fleet/src/main/kotlin/io/poplarwood/fleet/NodeContext.kt
@@ -0,0 +1,51 @@
+package io.poplarwood.fleet
+
+import io.poplarwood.api.id.EntryRef
+import io.poplarwood.api.random.Randomness
+import io.poplarwood.api.time.Ticker
+import io.poplarwood.fleet.message.FleetMessage
+import io.poplarwood.fleet.message.Peer
+import io.poplarwood.fleet.store.StoreAnswer
+import io.poplarwood.fleet.store.StoreOperation
+import io.poplarwood.fleet.store.StoreQueue
+import kotlin.time.Clock
+import kotlin.time.Duration
+
+/** What the parts of one node share: clock, randomness, outputs and the queue to the store. */
+internal class NodeContext(val settings: FleetSettings, val ticker: Ticker, val clock: Clock, val random: Randomness) {
+    var self: EntryRef = settings.self
+    private var out = ArrayList<FleetOutput>()
+    private val queue = StoreQueue(settings, random) { out += it }
+
+    val now: Duration get() = ticker.now()
+
+    fun send(to: Peer, message: FleetMessage) {
+        out += FleetOutput.Send(to.address, to.ref, message)
+    }
+
+    fun send(address: String, message: FleetMessage) {
+        out += FleetOutput.Send(address, null, message)
+    }
+
+    fun tell(event: FleetEvent) {
+        out += FleetOutput.Tell(event)
+    }
+
+    /** Performs [operation] when the budget allows; [urgent] ones are not delayed by it. */
+    fun store(operation: StoreOperation, urgent: Boolean = false, then: (StoreAnswer) -> Unit) {
+        queue.submit(now, operation, urgent, then)
+    }
+
+    fun answered(id: Long, answer: StoreAnswer) = queue.answered(now, id, answer)
+
+    fun tick() = queue.tick(now)
+
+    /** Operations that wait for the budget or for their answers. */
+    val storeBacklog: Int get() = queue.size
+
+    fun drain(): List<FleetOutput> {
+        val drained = out
+        out = ArrayList()
+        return drained
+    }
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/io/poplarwood/fleet/config/CatchUp.kt
@@ -0,0 +1,100 @@
+package io.poplarwood.fleet.config
+
+import io.poplarwood.fleet.NodeContext
+import io.poplarwood.fleet.membership.Freshness
+import io.poplarwood.fleet.membership.MemberState
+import io.poplarwood.fleet.membership.MemberTable
+import io.poplarwood.fleet.message.FleetMessage
+import io.poplarwood.fleet.message.Peer
+import io.poplarwood.fleet.recovery.Backoff
+import io.poplarwood.fleet.snapshot.SnapshotReader
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Fetches what this entry lacks: from a peer, else from the table. */
+internal class CatchUp(
+    private val ctx: NodeContext,
+    private val table: MemberTable,
+    private val state: ConfigState,
+    private val freshness: Freshness,
+) {
+    private val backoff = Backoff(ctx.random)
+    private val fromTable = TableReader(ctx, state)
+    private val snapshot = SnapshotReader(ctx, state) { freshness.head }
+    private var pulledAt: Duration? = null
+    private var failures = 0
+    private var tableAt = Duration.ZERO
+
+    /** Snapshots and pages that were refused. */
+    val refusedSnapshots: Int get() = snapshot.refused
+
+    /** True while a change is known that is not in force here. */
+    val behind: Boolean get() = target() > state.applied
+
+    fun tick(now: Duration) {
+        if (!behind && state.applied >= 0) {
+            failures = 0
+            pulledAt = null
+            return
+        }
+        val pulled = pulledAt
+        if (pulled != null && now - pulled >= PULL_TIMEOUT) {
+            pulledAt = null
+            failures++
+        }
+        if (pulledAt != null || fromTable.running) return
+        val peer = source()
+        if (peer != null && failures < MAX_PULLS) pull(now, peer) else readTable(now)
+    }
+
+    /** Continues with [batches] from a peer. */
+    fun received(batches: List<ChangeBatch>) {
+        pulledAt = null
+        val before = state.applied
+        batches.forEach(state::apply)
+        if (state.applied > before) failures = 0 else failures++
+        tick(ctx.now)
+    }
+
+    /** Continues with a snapshot page from [peer]. */
+    fun received(peer: Peer, message: FleetMessage.Snapshot) {
+        val next = snapshot.received(message)
+        if (next != null) {
+            pulledAt = ctx.now
+            ctx.send(peer, FleetMessage.SnapshotPull(next))
+        } else {
+            pulledAt = null
+            if (state.applied < 0) failures++
+        }
+    }
+
+    private fun pull(now: Duration, peer: Peer) {
+        pulledAt = now
+        if (state.applied < 0) {
+            snapshot.begin()
+            ctx.send(peer, FleetMessage.SnapshotPull(0))
+        } else {
+            ctx.send(peer, FleetMessage.ChangePull(state.applied))
+        }
+    }
+
+    private fun readTable(now: Duration) {
+        if (now < tableAt) return
+        fromTable.run(target()) { ok ->
+            failures = 0
+            if (ok) backoff.succeeded() else tableAt = ctx.now + backoff.failed()
+        }
+    }
+
+    private fun target(): Long = maxOf(freshness.head, table.others.maxOfOrNull { it.applied } ?: -1L)
+
+    private fun source(): Peer? {
+        val ahead = table.others.filter { it.row.state != MemberState.GONE && it.applied > state.applied }
+        return if (ahead.isEmpty()) null else ahead[ctx.random.nextInt(ahead.size)].row.peer
+    }
+
+    private companion object {
+        val PULL_TIMEOUT = 400.milliseconds
+        const val MAX_PULLS = 2
+    }
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/io/poplarwood/fleet/config/ConfigState.kt
@@ -0,0 +1,85 @@
+package io.poplarwood.fleet.config
+
+import io.poplarwood.api.id.ServiceName
+import io.poplarwood.fleet.FleetEvent
+import io.poplarwood.fleet.NodeContext
+
+/** Documents in force here and the log of recent changes. */
+internal class ConfigState(private val ctx: NodeContext, private val onApplied: (Long) -> Unit) {
+    private val documents = LinkedHashMap<ServiceName, DocumentInForce>()
+    private val recent = ArrayDeque<ChangeBatch>()
+
+    /** Sequence up to which every change is in force here; -1 before the first documents are known. */
+    var applied = -1L
+        private set
+    var view: FleetView? = null
+        private set
+
+    /** Sequence of the change that set [view], or a later one. */
+    var viewSequence = 0L
+        private set
+
+    val all: Collection<DocumentInForce> get() = documents.values
+
+    operator fun get(service: ServiceName): DocumentInForce? = documents[service]
+
+    /** Version of the row of [service]'s document, 0 when there is none. */
+    fun version(service: ServiceName): Long = documents[service]?.version ?: 0
+
+    /** Puts [batch] in force when it is the next one. Returns false when an earlier one is missing. */
+    fun apply(batch: ChangeBatch): Boolean {
+        if (applied < 0 || batch.sequence > applied + 1) return false
+        if (batch.sequence <= applied) return true
+        if (batch.changes.any { it.document == null }) return false
+        batch.changes.forEach { c -> c.document?.let { put(DocumentInForce(it, c.version, batch.sequence)) } }
+        batch.view?.let { adopt(it, batch.sequence) }
+        recent.addLast(batch)
+        if (recent.size > KEEP_BATCHES) recent.removeFirst()
+        advance(batch.sequence)
+        return true
+    }
+
+    /** Takes over what a snapshot or the table holds; documents with lower versions than those in force are ignored. */
+    fun install(sequence: Long, found: List<DocumentInForce>, foundView: FleetView?) {
+        found.forEach(::put)
+        foundView?.let { adopt(it, sequence) }
+        if (sequence <= applied) return
+        recent.clear()
+        advance(sequence)
+    }
+
+    /** Batches after [after], oldest first, as many as fit into a frame; empty when the next one is not held. */
+    fun since(after: Long): List<ChangeBatch> {
+        val first = recent.firstOrNull()?.sequence ?: return emptyList()
+        if (after + 1 < first) return emptyList()
+        var bytes = 0
+        return recent.filter { it.sequence > after }.takeWhile { batch ->
+            val empty = bytes == 0
+            bytes += ConfigCodec.encodeBatch(batch).size
+            empty || bytes <= MAX_REPLY_BYTES
+        }
+    }
+
+    private fun put(found: DocumentInForce) {
+        val service = found.document.service
+        if (found.version <= version(service)) return
+        documents[service] = found
+        ctx.tell(FleetEvent.InForce(found))
+    }
+
+    private fun adopt(found: FleetView, sequence: Long) {
+        if (found.version <= (view?.version ?: 0)) return
+        view = found
+        viewSequence = sequence
+    }
+
+    private fun advance(sequence: Long) {
+        applied = sequence
+        onApplied(sequence)
+    }
+
+    private companion object {
+        const val KEEP_BATCHES = 256
+        const val MAX_REPLY_BYTES = 160 * 1024
+    }
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/io/poplarwood/fleet/config/InForceLog.kt
@@ -0,0 +1,53 @@
+package io.poplarwood.fleet.config
+
+import io.poplarwood.api.platform.RowWrite
+import io.poplarwood.api.platform.StoreFailure
+import io.poplarwood.fleet.NodeContext
+import io.poplarwood.fleet.store.StoreAnswer
+import io.poplarwood.fleet.store.StoreOperation
+import kotlinx.serialization.builtins.ListSerializer
+import kotlinx.serialization.cbor.Cbor
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Writes to the table when changes were in force everywhere; one row tells it of all changes since the last row. */
+internal class InForceLog(private val ctx: NodeContext) {
+    private val times = ArrayDeque<InForceTime>()
+    private var writing = false
+    private var nextAt = Duration.ZERO
+
+    fun add(spread: Spread) {
+        if (spread.changeIds.isEmpty()) return
+        if (times.size >= MAX_WAITING) times.removeFirst()
+        val took = ctx.now - (spread.acceptedAt ?: ctx.now)
+        val atMs = ctx.clock.now().toEpochMilliseconds()
+        times.addLast(InForceTime(spread.batch.sequence, atMs, took.inWholeMilliseconds))
+    }
+
+    fun tick(now: Duration) {
+        if (writing || times.isEmpty() || now < nextAt) return
+        val page = times.take(PAGE)
+        val write = RowWrite(ConfigCodec.inForceKey(page.first().sequence), 0, encode(page))
+        writing = true
+        ctx.store(StoreOperation.Transact(listOf(write))) { answer ->
+            writing = false
+            nextAt = ctx.now + PAUSE
+            val present = answer is StoreAnswer.Failed && answer.failure is StoreFailure.Conflict
+            // A row that is present was written by an attempt whose answer was lost.
+            if (answer is StoreAnswer.Applied || present) times.removeAll(page)
+        }
+    }
+
+    companion object {
+        private const val MAX_WAITING = 1_024
+        private const val PAGE = 64
+        private val PAUSE = 2.seconds
+        private val list = ListSerializer(InForceTime.serializer())
+
+        private fun encode(times: List<InForceTime>): ByteArray = Cbor.encodeToByteArray(list, times)
+
+        /** Decodes a row; empty when [bytes] are none. */
+        fun decode(bytes: ByteArray): List<InForceTime> =
+            runCatching { Cbor.decodeFromByteArray(list, bytes) }.getOrDefault(emptyList())
+    }
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/io/poplarwood/fleet/config/QuorumRound.kt
@@ -0,0 +1,33 @@
+package io.poplarwood.fleet.config
+
+import io.poplarwood.api.id.EntryRef
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Asks the members of a view for the sequence that each has in force.
+ *
+ * A change counts as accepted only once a majority of the view has it, so the largest sequence that a majority reports
+ * is at least that of every change accepted before the round began: the round is a reading of the head without the
+ * store.
+ */
+internal class QuorumRound(private val view: FleetView, val startedAt: Duration) {
+    private val heard = LinkedHashMap<EntryRef, Long>()
+
+    /** Counts an answer to a ping of this round. */
+    fun heard(ref: EntryRef, applied: Long) {
+        if (applied >= 0) heard[ref] = applied
+    }
+
+    /** Largest sequence reported, once a majority has answered. */
+    fun sequence(): Long? = if (view.majority(heard.keys)) heard.values.max() else null
+
+    /** True when a majority has at least [sequence] in force. */
+    fun confirms(sequence: Long): Boolean = view.majority(heard.filterValues { it >= sequence }.keys)
+
+    fun expired(now: Duration): Boolean = now - startedAt >= TIMEOUT
+
+    private companion object {
+        val TIMEOUT = 800.milliseconds
+    }
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/io/poplarwood/fleet/membership/Member.kt
@@ -0,0 +1,18 @@
+package io.poplarwood.fleet.membership
+
+import kotlin.time.Duration
+
+/** A row of the member table with what this entry keeps about it. */
+internal class Member(var row: MemberRow) {
+    var suspectedAt: Duration? = null
+    var goneAt: Duration? = null
+
+    /** True when the run said itself that it has ended. */
+    var ended = false
+
+    /** Times that the row was sent since it changed. */
+    var sent = 0
+
+    /** Sequence that the member last reported to have in force. */
+    var applied = -1L
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/io/poplarwood/fleet/membership/Probe.kt
@@ -0,0 +1,17 @@
+package io.poplarwood.fleet.membership
+
+import io.poplarwood.fleet.message.Peer
+import kotlin.time.Duration
+
+/**
+ * A ping that waits for its answer.
+ *
+ * @property target the member that was pinged; null for an address whose entry is unknown
+ * @property onBehalf the entry that asked for the ping, with its nonce; null for an own ping
+ */
+internal class Probe(val target: Peer?, val sentAt: Duration, val onBehalf: Pair<Peer, Long>? = null) {
+    var indirect = false
+
+    /** A ping of a quorum round does not decide about its target. */
+    var decides = true
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/io/poplarwood/fleet/membership/Prober.kt
@@ -0,0 +1,127 @@
+package io.poplarwood.fleet.membership
+
+import io.poplarwood.api.id.EntryRef
+import io.poplarwood.fleet.NodeContext
+import io.poplarwood.fleet.message.Digest
+import io.poplarwood.fleet.message.FleetMessage
+import io.poplarwood.fleet.message.Peer
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Pings members and decides, from the answers, whom to suspect. */
+internal class Prober(
+    private val ctx: NodeContext,
+    private val table: MemberTable,
+    private val digest: () -> Digest,
+) {
+    private val probes = LinkedHashMap<Long, Probe>()
+    private val turn = ArrayDeque<EntryRef>()
+    private var nextAt = Duration.ZERO
+    private var addresses: List<String> = ctx.settings.seeds
+    private var addressTurn = 0
+
+    /** Addresses of entries from the VM list, tried besides the seeds. */
+    fun listed(entries: List<String>) {
+        addresses = (ctx.settings.seeds + entries).distinct()
+    }
+
+    fun tick(now: Duration) {
+        expire(now)
+        if (now < nextAt) return
+        nextAt = now + PERIOD
+        repeat(FANOUT) { next()?.let { ping(now, it.row.peer) } }
+        table.present().filter { it.suspectedAt != null }.take(FANOUT).forEach { ping(now, it.row.peer) }
+        pingUnknown(now)
+    }
+
+    /** Forgets pings under way: after a pause their silence is no evidence. */
+    fun forget() = probes.clear()
+
+    /** Pings [target]; [decides] is false when a lost answer must not lead to a suspicion. Returns the nonce. */
+    fun ping(now: Duration, target: Peer, decides: Boolean = true, onBehalf: Pair<Peer, Long>? = null): Long {
+        val nonce = ctx.random.nextLong()
+        probes[nonce] = Probe(target, now, onBehalf).also { it.decides = decides && onBehalf == null }
+        ctx.send(target, FleetMessage.Ping(nonce, digest()))
+        return nonce
+    }
+
+    /** The probe that [nonce] answers, sent by [from]; null for an answer that nobody waits for. */
+    fun answered(from: Peer, nonce: Long): Probe? {
+        val probe = probes.remove(nonce) ?: return null
+        val target = probe.target
+        if (target != null && target.ref != from.ref) {
+            // The address answers as another run, so the run that was pinged has ended.
+            if (target.ref.id == from.ref.id) table[target.ref]?.let(table::gone)
+            return null
+        }
+        probe.onBehalf?.let { (asker, theirs) -> ctx.send(asker, FleetMessage.IndirectAck(theirs, from.ref)) }
+        return probe
+    }
+
+    /** An indirect answer counts like a direct one for the decision, but carries no digest. */
+    fun answeredIndirectly(nonce: Long, target: EntryRef) {
+        if (probes[nonce]?.target?.ref == target) probes.remove(nonce)
+    }
+
+    private fun expire(now: Duration) {
+        val entries = probes.entries.iterator()
+        while (entries.hasNext()) {
+            val (nonce, probe) = entries.next()
+            val age = now - probe.sentAt
+            if (age >= INDIRECT_TIMEOUT) {
+                entries.remove()
+                val member = probe.target?.let { table[it.ref] }
+                if (member != null && probe.decides) table.suspect(member)
+            } else if (age >= DIRECT_TIMEOUT) {
+                askHelpers(nonce, probe)
+            }
+        }
+    }
+
+    private fun askHelpers(nonce: Long, probe: Probe) {
+        val target = probe.target ?: return
+        if (probe.indirect || !probe.decides) return
+        probe.indirect = true
+        helpers(target.ref).forEach { ctx.send(it, FleetMessage.IndirectPing(nonce, target)) }
+    }
+
+    private fun helpers(target: EntryRef): List<Peer> =
+        pick(table.present().filter { it.row.ref != target && it.suspectedAt == null }, FANOUT).map { it.row.peer }
+
+    private fun next(): Member? {
+        repeat(2) {
+            while (turn.isNotEmpty()) {
+                val member = table[turn.removeFirst()]
+                if (member != null && member.row.state != MemberState.GONE) return member
+            }
+            val present = table.present()
+            turn.addAll(pick(present, present.size).map { it.row.ref })
+        }
+        return null
+    }
+
+    private fun pingUnknown(now: Duration) {
+        val known = table.present().mapTo(HashSet()) { it.row.address }
+        val unknown = addresses.filter { it != table.self.address && it !in known }
+        if (unknown.isEmpty()) return
+        val count = if (known.isEmpty()) FANOUT else 1
+        repeat(minOf(count, unknown.size)) {
+            val nonce = ctx.random.nextLong()
+            probes[nonce] = Probe(null, now)
+            ctx.send(unknown[addressTurn++ % unknown.size], FleetMessage.Ping(nonce, digest()))
+        }
+    }
+
+    private fun pick(from: List<Member>, count: Int): List<Member> {
+        val pool = from.toMutableList()
+        return List(minOf(count, pool.size)) { pool.removeAt(ctx.random.nextInt(pool.size)) }
+    }
+
+    private companion object {
+        val PERIOD = 1.seconds
+        const val FANOUT = 3
+        val DIRECT_TIMEOUT = 500.milliseconds
+        val INDIRECT_TIMEOUT = 1_500.milliseconds
+    }
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/io/poplarwood/fleet/snapshot/FleetSnapshot.kt
@@ -0,0 +1,26 @@
+package io.poplarwood.fleet.snapshot
+
+import io.poplarwood.fleet.config.DocumentInForce
+import io.poplarwood.fleet.config.FleetView
+import kotlinx.serialization.Serializable
+
+/**
+ * One page of what a starting entry takes over from a peer.
+ *
+ * @property format version of this layout
+ * @property sequence sequence up to which the sender has every change in force
+ * @property takenMs wall-clock time at the sender, milliseconds since the epoch
+ */
+@Serializable
+data class FleetSnapshot(
+    val format: Int,
+    val sequence: Long,
+    val takenMs: Long,
+    val documents: List<DocumentInForce>,
+    val view: FleetView? = null,
+) {
+    companion object {
+        /** Format that this version writes and reads. */
+        const val FORMAT = 1
+    }
+}
--- /dev/null
+++ b/fleet/src/main/kotlin/io/poplarwood/fleet/snapshot/SnapshotReader.kt
@@ -0,0 +1,44 @@
+package io.poplarwood.fleet.snapshot
+
+import com.github.michaelbull.result.fold
+import io.poplarwood.fleet.NodeContext
+import io.poplarwood.fleet.config.ConfigState
+import io.poplarwood.fleet.message.FleetMessage
+
+/** Collects the pages of a snapshot. Pages of different sequences are refused, as documents may move between them. */
+internal class SnapshotReader(
+    private val ctx: NodeContext,
+    private val state: ConfigState,
+    private val head: () -> Long,
+) {
+    private val pages = ArrayList<FleetSnapshot>()
+
+    var refused = 0
+        private set
+
+    fun begin() = pages.clear()
+
+    /** Takes in a page. Returns the number of the page to pull next; null when complete or refused. */
+    fun received(message: FleetMessage.Snapshot): Int? {
+        if (message.page != pages.size) return refuse()
+        return SnapshotCodec.decode(message.bytes, ctx.clock.now().toEpochMilliseconds(), head()).fold(
+            success = { accept(it, message) },
+            failure = { refuse() },
+        )
+    }
+
+    private fun accept(page: FleetSnapshot, message: FleetMessage.Snapshot): Int? {
+        if (pages.isNotEmpty() && pages.first().sequence != page.sequence) return refuse()
+        pages += page
+        if (pages.size < message.pages) return pages.size
+        state.install(page.sequence, pages.flatMap { it.documents }, page.view)
+        pages.clear()
+        return null
+    }
+
+    private fun refuse(): Int? {
+        refused++
+        pages.clear()
+        return null
+    }
+}
--- a/peer/src/main/kotlin/io/poplarwood/peer/Module.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package io.poplarwood.peer
-
-internal const val MODULE = "peer"
--- /dev/null
+++ b/peer/src/main/kotlin/io/poplarwood/peer/PeerNetwork.kt
@@ -0,0 +1,199 @@
+package io.poplarwood.peer
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.ServerSocket
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.poplarwood.api.random.Randomness
+import io.poplarwood.api.time.Ticker
+import io.poplarwood.fleet.message.Peer
+import io.poplarwood.peer.link.FrameCodec
+import io.poplarwood.peer.link.Handshake
+import io.poplarwood.peer.link.Link
+import io.poplarwood.peer.link.LinkFrame
+import io.poplarwood.peer.link.PeerCounters
+import io.poplarwood.peer.link.Rejection
+import io.poplarwood.peer.link.Route
+import io.poplarwood.peer.link.Wire
+import io.poplarwood.peer.message.PeerMessage
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+
+/**
+ * Links between entries. A link is opened when there is something to say and closed when there has been nothing for a
+ * while; either side may use it.
+ *
+ * @param self this run of the entry and the address at which others reach its listener
+ * @param admit whether a peer that proved the secret may have a link
+ * @param onMessage receives messages; must return soon, as it holds up the link
+ */
+class PeerNetwork(
+    private val settings: PeerSettings,
+    self: () -> Peer,
+    private val counters: PeerCounters,
+    private val ticker: Ticker,
+    private val random: Randomness,
+    admit: (Peer) -> Boolean = { true },
+    private val onMessage: suspend (Peer, PeerMessage) -> Unit,
+) {
+    private val handshake = Handshake(settings.secret, settings.versions, self, admit, random)
+    private val routes = ConcurrentHashMap<String, Route>()
+    private val links = ConcurrentHashMap.newKeySet<Link>()
+    private val handshakes = AtomicInteger()
+    private lateinit var scope: CoroutineScope
+    private lateinit var selector: SelectorManager
+    private lateinit var server: ServerSocket
+
+    /** Port of the listener. */
+    val port: Int get() = (server.localAddress as InetSocketAddress).port
+
+    /** Authenticated links that are open now. */
+    val openLinks: Int get() = links.size
+
+    /** Listens and begins to carry messages; ends when [scope] does. */
+    suspend fun start(scope: CoroutineScope) {
+        this.scope = scope
+        selector = SelectorManager(Dispatchers.IO)
+        server = aSocket(selector).tcp().bind(settings.bindHost, settings.bindPort)
+        scope.launch { listen() }.invokeOnCompletion { close() }
+    }
+
+    /** Sends [message] to the entry at [address]. Never blocks; returns false when the message was dropped. */
+    fun send(address: String, message: PeerMessage): Boolean {
+        val body = encode(message) ?: return false
+        return route(address).offer(body)
+    }
+
+    /** Sends part of a body, waiting while much of such is queued for [address]. */
+    internal suspend fun put(address: String, message: PeerMessage) {
+        encode(message)?.let { route(address).put(it) }
+    }
+
+    /** Closes all links, since this entry continues under another name. */
+    fun renamed() = links.forEach(Link::close)
+
+    /** Closes the listener and all links. */
+    fun close() {
+        links.forEach(Link::close)
+        server.close()
+        selector.close()
+    }
+
+    private fun encode(message: PeerMessage): ByteArray? {
+        val body = FrameCodec.encode(LinkFrame.Carry(message))
+        if (body.size <= FrameCodec.MAX_BYTES) return body
+        counters.rejected(Rejection.OVERSIZED)
+        return null
+    }
+
+    private fun route(address: String): Route = routes.computeIfAbsent(address) {
+        val made = Route(
+            settings.queueFrames,
+            settings.queueBytes,
+            dial = { dial(address) },
+            redialPause = { settings.times.redial * (1 + random.nextDouble()) },
+            dropped = counters::rejected,
+        )
+        scope.launch { made.pump() }
+        made
+    }
+
+    private suspend fun listen() {
+        while (true) {
+            val socket = try {
+                server.accept()
+            } catch (e: CancellationException) {
+                throw e
+            } catch (e: Exception) {
+                return
+            }
+            if (handshakes.incrementAndGet() > MAX_HANDSHAKES) {
+                handshakes.decrementAndGet()
+                counters.rejected(Rejection.UNAUTHENTICATED)
+                socket.close()
+            } else {
+                scope.launch { accept(socket) }
+            }
+        }
+    }
+
+    private suspend fun accept(socket: Socket) {
+        val wire = wire(socket)
+        val result = try {
+            shake { handshake.accept(wire) }
+        } finally {
+            handshakes.decrementAndGet()
+        }
+        result.fold(
+            success = { peer ->
+                val link = Link(peer, wire, settings.times, ticker, dialled = false)
+                route(peer.address).attach(link)
+                run(link)
+            },
+            failure = {
+                counters.rejected(it)
+                wire.close()
+            },
+        )
+    }
+
+    private suspend fun dial(address: String): Link? {
+        val socket = withTimeoutOrNull(settings.times.handshake) { connect(address) } ?: return null
+        val wire = wire(socket)
+        return shake { handshake.dial(wire) }.fold(
+            success = { peer ->
+                val link = Link(peer, wire, settings.times, ticker, dialled = true)
+                scope.launch { run(link) }
+                link
+            },
+            failure = {
+                counters.rejected(it)
+                wire.close()
+                null
+            },
+        )
+    }
+
+    private suspend fun connect(address: String): Socket? = try {
+        val host = address.substringBeforeLast(':')
+        val port = address.substringAfterLast(':').toInt()
+        aSocket(selector).tcp().connect(host, port) { noDelay = true }
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: Exception) {
+        null
+    }
+
+    private suspend fun shake(block: suspend () -> Result<Peer, Rejection>): Result<Peer, Rejection> =
+        withTimeoutOrNull(settings.times.handshake) { block() } ?: Err(Rejection.SILENT)
+
+    private suspend fun run(link: Link) {
+        links += link
+        try {
+            link.run(onMessage)?.let(counters::rejected)
+        } finally {
+            links -= link
+        }
+        val route = routes[link.peer.address] ?: return
+        if (link.inUse && route.current() == null) route.wake()
+    }
+
+    private fun wire(socket: Socket) =
+        Wire(socket, socket.openReadChannel(), socket.openWriteChannel(), counters)
+
+    private companion object {
+        /** Connections that may be in their handshake at once. */
+        const val MAX_HANDSHAKES = 256
+    }
+}
--- /dev/null
+++ b/peer/src/main/kotlin/io/poplarwood/peer/link/Wire.kt
@@ -0,0 +1,60 @@
+package io.poplarwood.peer.link
+
+import io.ktor.network.sockets.Socket
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.readByteArray
+import io.ktor.utils.io.readInt
+import io.ktor.utils.io.writeByteArray
+import io.ktor.utils.io.writeInt
+import kotlinx.coroutines.CancellationException
+
+/** Reads and writes frames on one connection. */
+internal class Wire(
+    private val socket: Socket,
+    private val input: ByteReadChannel,
+    private val output: ByteWriteChannel,
+    private val counters: PeerCounters,
+) {
+    /** What ended the reading side; null while it reads, or when the other side closed it in order. */
+    var fault: Rejection? = null
+        private set
+
+    /** The next frame; null when there is none, see [fault]. */
+    suspend fun read(): LinkFrame? {
+        val body = readBody() ?: return null
+        counters.received(body.size + FrameCodec.LENGTH_BYTES)
+        return FrameCodec.decode(body) ?: null.also { fault = Rejection.MALFORMED }
+    }
+
+    private suspend fun readBody(): ByteArray? = try {
+        val length = input.readInt()
+        if (length in 1..FrameCodec.MAX_BYTES) {
+            input.readByteArray(length)
+        } else {
+            fault = if (length < 1) Rejection.MALFORMED else Rejection.OVERSIZED
+            null
+        }
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: Exception) {
+        null
+    }
+
+    /** Writes [frame]; returns false when the connection takes no more. */
+    suspend fun write(frame: LinkFrame): Boolean = writeBody(FrameCodec.encode(frame))
+
+    suspend fun writeBody(body: ByteArray): Boolean = try {
+        output.writeInt(body.size)
+        output.writeByteArray(body)
+        output.flush()
+        counters.sent(body.size + FrameCodec.LENGTH_BYTES)
+        true
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: Exception) {
+        false
+    }
+
+    fun close() = socket.close()
+}
--- /dev/null
+++ b/peer/src/main/kotlin/io/poplarwood/peer/message/HeaderLine.kt
@@ -0,0 +1,7 @@
+package io.poplarwood.peer.message
+
+import kotlinx.serialization.Serializable
+
+/** One header field. */
+@Serializable
+data class HeaderLine(val name: String, val value: String)
