Stop requests that crash upstreams and bound the load of measuring

Cause: a request that kills every upstream that runs it must not take the fleet down when its caller sends it again, and probes must stay within one number.

Change: CrashTable lets a suspect run again only after news of other losses has had time to arrive, one at a time and in this entry's window, alone from the second loss on, and refuses it after the third. A connection loss that the upstream outlived is no crash. MeasuringBudget gives each entry a whole share of any one-second window, from the configured maximum of entries.

Conclusion: more than three entries that get the request within the first second, before any news, still lose one upstream each.

--- a/decision/src/main/kotlin/io/poplarwood/decision/admission/ClassQueue.kt
+++ b/decision/src/main/kotlin/io/poplarwood/decision/admission/ClassQueue.kt
@@ -2,6 +2,8 @@
 
 import io.poplarwood.api.work.ClassSpec
 import io.poplarwood.decision.retry.RetryBudget
+import io.poplarwood.decision.retry.answered
+import io.poplarwood.decision.routing.AttemptResult
 import kotlin.time.Duration
 
 /**
@@ -29,5 +31,11 @@
         return removed
     }
 
+    /** Takes in how an attempt of [row] ended. */
+    fun learn(row: WaitingCall, result: AttemptResult, now: Duration) {
+        if (result.answered) serviceTime.record(now - row.dispatchedAt)
+        if (result == AttemptResult.ANSWERED) budget.succeeded()
+    }
+
     fun heldSince(): Duration? = calls.firstOrNull()?.queuedAt
 }
--- a/decision/src/main/kotlin/io/poplarwood/decision/admission/WaitingCall.kt
+++ b/decision/src/main/kotlin/io/poplarwood/decision/admission/WaitingCall.kt
@@ -27,6 +27,7 @@
     var slot: SlotId? = null
     var cancelled = false
     var alone = false
+    var heldForCrash = false
 
     val running: Boolean get() = slot != null
 }
--- /dev/null
+++ b/decision/src/main/kotlin/io/poplarwood/decision/budget/MeasuringBudget.kt
@@ -0,0 +1,62 @@
+package io.poplarwood.decision.budget
+
+import io.poplarwood.api.time.Ticker
+import kotlin.math.floor
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * This entry's share of the probes that measuring may put on one service.
+ *
+ * The share comes from the configured maximum of entries, so no view of the membership can make the shares add up to
+ * more than the budget. It is a whole number of probes for any one-second window: fractions would add up when entries
+ * happen to probe at the same moment. The remainder of the division goes to the entries with the lowest seats.
+ *
+ * @param maxEntries configured maximum of entries in the cell
+ * @param seat number of this entry, unique within the cell and below [maxEntries]; null when entries have none, which
+ *   leaves the remainder unused
+ */
+class MeasuringBudget(private val maxEntries: Int, private val seat: Int?, private val ticker: Ticker) {
+    private val sent = ArrayDeque<Duration>()
+    private var seenAt = ticker.now()
+
+    // An earlier run of this entry may have probed until a moment ago.
+    private var closedUntil = seenAt + WINDOW
+
+    init {
+        require(maxEntries > 0) { "maxEntries must be positive, is $maxEntries" }
+        require(seat == null || seat in 0 until maxEntries) { "seat must be below $maxEntries, is $seat" }
+    }
+
+    /** Probes that this entry may send in one second of the fleet's [perSecond]. */
+    fun share(perSecond: Double): Int {
+        val whole = floor(perSecond).toInt()
+        return whole / maxEntries + if (seat != null && seat < whole % maxEntries) 1 else 0
+    }
+
+    /** Notes that the entry runs. After a pause, probes that were decided before it may still leave. */
+    fun tick() {
+        val now = ticker.now()
+        if (now - seenAt > PAUSE) closedUntil = now + WINDOW
+        seenAt = now
+    }
+
+    /** Takes one probe; false when the share of the last second is used up. */
+    fun take(perSecond: Double): Boolean {
+        tick()
+        val now = seenAt
+        while (sent.isNotEmpty() && now - sent.first() >= WINDOW) sent.removeFirst()
+        if (now < closedUntil || sent.size >= share(perSecond)) return false
+        sent.addLast(now)
+        return true
+    }
+
+    private companion object {
+        /** Ticks come every 10 ms; a gap of ten is a pause. */
+        val PAUSE = 100.milliseconds
+
+        /** A probe may leave up to an unnoticed pause after its decision, and must not crowd the second after that. */
+        val WINDOW = 1.seconds + PAUSE + 10.milliseconds
+    }
+}
--- a/decision/src/main/kotlin/io/poplarwood/decision/dispatch/ExplainNotes.kt
+++ b/decision/src/main/kotlin/io/poplarwood/decision/dispatch/ExplainNotes.kt
@@ -1,14 +1,32 @@
 package io.poplarwood.decision.dispatch
 
+import io.poplarwood.api.id.ServiceName
+import io.poplarwood.api.outcome.Refusal
+import io.poplarwood.decision.admission.ClassQueue
 import io.poplarwood.decision.admission.WaitingCall
 import io.poplarwood.decision.explain.AttemptRecord
 import io.poplarwood.decision.explain.ExplainLog
+import io.poplarwood.decision.explain.ExplainRecord
 import io.poplarwood.decision.routing.AttemptResult
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
 /** Writes the decisions about calls to the [log]. */
 internal class ExplainNotes(private val log: ExplainLog) {
+    /** The record of a call that arrives. */
+    fun opened(service: ServiceName, call: Call, queue: ClassQueue, wait: Duration) = ExplainRecord(
+        request = call.request,
+        service = service,
+        workClass = call.workClass,
+        rank = queue.spec.rank,
+        estimatedWaitMs = wait.toDouble(DurationUnit.MILLISECONDS),
+        queuedAhead = queue.calls.size,
+    )
+
+    fun refused(row: WaitingCall, refusal: Refusal) {
+        row.record = row.record.copy(retryAfterMs = refusal.retryAfter?.toDouble(DurationUnit.MILLISECONDS))
+    }
+
     /** Notes an attempt that begins; the upstream then counts as tried. */
     fun dispatched(granted: SlotGrant) {
         val row = granted.row
--- /dev/null
+++ b/decision/src/main/kotlin/io/poplarwood/decision/dispatch/Prober.kt
@@ -0,0 +1,25 @@
+package io.poplarwood.decision.dispatch
+
+import io.poplarwood.api.id.UpstreamId
+import io.poplarwood.decision.budget.MeasuringBudget
+import io.poplarwood.decision.budget.ProbeSelector
+import io.poplarwood.decision.routing.UpstreamRow
+import kotlin.time.Duration
+
+/** Emits probes of upstreams without recent evidence, within the [budget]. */
+internal class Prober(
+    private val budget: MeasuringBudget?,
+    private val selector: ProbeSelector,
+    private val emit: (Command) -> Unit,
+) {
+    fun heard(upstream: UpstreamId, now: Duration) = selector.heard(upstream, now)
+
+    fun tick(rows: List<UpstreamRow>, perSecond: Double, now: Duration) {
+        if (budget == null) return
+        budget.tick()
+        val upstream = selector.next(rows, now) ?: return
+        if (!budget.take(perSecond)) return
+        selector.heard(upstream, now)
+        emit(Command.Probe(upstream))
+    }
+}
--- a/decision/src/main/kotlin/io/poplarwood/decision/dispatch/ServiceDispatcher.kt
+++ b/decision/src/main/kotlin/io/poplarwood/decision/dispatch/ServiceDispatcher.kt
@@ -12,13 +12,14 @@
 import io.poplarwood.decision.admission.ClassQueue
 import io.poplarwood.decision.admission.SlotAccount
 import io.poplarwood.decision.admission.WaitingCall
+import io.poplarwood.decision.budget.MeasuringBudget
+import io.poplarwood.decision.budget.ProbeSelector
+import io.poplarwood.decision.crash.CrashTable
 import io.poplarwood.decision.explain.ExplainLog
-import io.poplarwood.decision.explain.ExplainRecord
 import io.poplarwood.decision.retry.RetryBudget
 import io.poplarwood.decision.retry.RetryDecision
 import io.poplarwood.decision.retry.RetryPolicy
 import io.poplarwood.decision.retry.ShedMonitor
-import io.poplarwood.decision.retry.answered
 import io.poplarwood.decision.routing.AttemptEvidence
 import io.poplarwood.decision.routing.AttemptResult
 import io.poplarwood.decision.routing.Router
@@ -26,11 +27,12 @@
 import io.poplarwood.decision.routing.UpstreamView
 import kotlinx.collections.immutable.ImmutableList
 import kotlin.time.Duration
-import kotlin.time.DurationUnit
 
 /**
  * The dispatcher of one service: a queue per class in front of a [Router].
  *
+ * @param crashes suspicions, shared by the dispatchers of an entry, which also merges peers' news into it
+ * @param measuring this entry's share of the measuring budget; null for no probes
  * @param emit receives the decisions, in order
  */
 class ServiceDispatcher(
@@ -40,6 +42,8 @@
     random: Randomness,
     private val router: Router,
     explain: ExplainLog,
+    crashes: CrashTable = CrashTable(),
+    measuring: MeasuringBudget? = null,
     private val emit: (Command) -> Unit,
 ) : Dispatcher {
     private val account = SlotAccount(settings, random.nextDouble())
@@ -50,8 +54,10 @@
     private val calls = HashMap<CallId, WaitingCall>()
     private val delayed = ArrayList<WaitingCall>()
     private val waiting = IntArray(Rank.entries.size)
+    private val prober = Prober(measuring, ProbeSelector(random), emit)
+    private val guard = CrashGuard(crashes, emit)
     private val notes = ExplainNotes(explain)
-    private val slots = SlotAssignment(router, account, ticker)
+    private val slots = SlotAssignment(router, account, ticker, ::hold)
     private var assigning = false
     private var assignAgain = false
 
@@ -67,7 +73,7 @@
             return
         }
         val wait = admission.estimatedWait(queue, queues.values)
-        val row = WaitingCall(call, queue, recordOf(call, queue, wait))
+        val row = WaitingCall(call, queue, notes.opened(document.service, call, queue, wait))
         row.queuedAt = now
         calls[call.id] = row
         val refusal = admission.refusal(call, queue, wait, now)
@@ -75,6 +81,10 @@
             refuse(row, refusal)
             return
         }
+        if (guard.heldUntil(row, now)?.isInfinite() == true) {
+            refuseSuspect(row, now)
+            return
+        }
         queue.calls.addLast(row)
         assign()
     }
@@ -85,11 +95,14 @@
         if (slot == null || attempt != row.history.attempts) return
         val now = ticker.now()
         row.slot = null
+        prober.heard(row.tried.last(), now)
         router.release(slot, evidence)
         account.ended(row, now)
         row.history.ended(evidence.result)
         notes.ended(row, evidence.result, now)
-        learn(row, evidence.result, now)
+        shed.record(evidence.result == AttemptResult.BUSY)
+        row.queue.learn(row, evidence.result, now)
+        noteCrash(row, evidence.result, now)
         if (row.cancelled) forget(row, CANCELLED) else settle(row, now)
         assign()
     }
@@ -114,7 +127,8 @@
         this.document = document
         for (spec in document.classes) {
             val known = queues[spec.name]
-            if (known != null) known.spec = spec else queues[spec.name] = ClassQueue(spec, newBudget())
+            val budget = RetryBudget(settings.retryShare, settings.retryFloorPerSecond, ticker.now())
+            if (known != null) known.spec = spec else queues[spec.name] = ClassQueue(spec, budget)
         }
         // A class that is gone keeps its row until its last call has ended.
         val named = document.classes.mapTo(HashSet()) { it.name }
@@ -135,20 +149,42 @@
     override fun tick() {
         val now = ticker.now()
         router.tick()
-        account.limits(router.table())
+        val rows = router.table()
+        account.limits(rows)
+        prober.tick(rows, document.probesPerSecond, now)
         account.advance(queues.values, now)
         expire(now)
         resume(now)
         assign()
     }
 
-    private fun newBudget() = RetryBudget(settings.retryShare, settings.retryFloorPerSecond, ticker.now())
+    private fun noteCrash(row: WaitingCall, result: AttemptResult, now: Duration) {
+        if (!guard.ended(row, result, now)) return
+        for (held in delayed) if (held.heldForCrash) held.readyAt = now
+        resume(now)
+    }
 
-    private fun learn(row: WaitingCall, result: AttemptResult, now: Duration) {
-        shed.record(result == AttemptResult.BUSY)
-        if (!result.answered) return
-        row.queue.serviceTime.record(now - row.dispatchedAt)
-        if (result == AttemptResult.ANSWERED) row.queue.budget.succeeded()
+    private fun refuseSuspect(row: WaitingCall, now: Duration) {
+        val reason = when {
+            row.history.mayHaveRun -> retries.giveUp(row.call, row.history).reason
+            else -> RefusalReason.CRASH_SUSPECT
+        }
+        refuse(row, Refusal(reason, admission.retryAfter(guard.retryAfter(row, now))))
+    }
+
+    /** Takes [row] out of its queue when crashes keep it from running now; true when it did. */
+    private fun hold(row: WaitingCall): Boolean {
+        val now = ticker.now()
+        val until = guard.heldUntil(row, now) ?: return false
+        row.queue.calls.remove(row)
+        if (until.isInfinite()) {
+            refuseSuspect(row, now)
+            return true
+        }
+        row.readyAt = until
+        row.heldForCrash = true
+        delayed += row
+        return true
     }
 
     private fun settle(row: WaitingCall, now: Duration) {
@@ -169,7 +205,9 @@
 
     private fun refusalOf(reason: RefusalReason, row: WaitingCall): Refusal {
         val wait = admission.estimatedWait(row.queue, queues.values)
-        return Refusal(reason, admission.retryAfter(wait))
+        // A resend that comes after the news of a lost upstream finds every entry warned.
+        val least = if (reason == RefusalReason.CONNECTION_LOST) guard.settle else Duration.ZERO
+        return Refusal(reason, admission.retryAfter(maxOf(wait, least)))
     }
 
     /** Refuses at once what can no longer end before its deadline. */
@@ -191,7 +229,10 @@
         if (delayed.isEmpty()) return
         val ready = delayed.filter { it.readyAt <= now }
         delayed.removeAll(ready)
-        for (row in ready) row.queue.calls.addFirst(row)
+        for (row in ready) {
+            row.heldForCrash = false
+            row.queue.calls.addFirst(row)
+        }
     }
 
     /** Gives out slots until no waiting call can use one. A command may call back before it returns. */
@@ -214,6 +255,7 @@
     private fun dispatch(granted: SlotGrant) {
         val row = granted.row
         notes.dispatched(granted)
+        guard.started(row)
         emit(Command.Dispatch(row.call.id, row.history.attempts, granted.upstream, row.retry))
     }
 
@@ -226,7 +268,7 @@
     }
 
     private fun refuse(row: WaitingCall, refusal: Refusal) {
-        row.record = row.record.copy(retryAfterMs = refusal.retryAfter?.toDouble(DurationUnit.MILLISECONDS))
+        notes.refused(row, refusal)
         forget(row, refusal.reason.wire)
         emit(Command.Refuse(row.call.id, refusal))
     }
@@ -236,15 +278,6 @@
         notes.closed(row, outcome)
     }
 
-    private fun recordOf(call: Call, queue: ClassQueue, wait: Duration) = ExplainRecord(
-        call.request,
-        document.service,
-        call.workClass,
-        queue.spec.rank,
-        wait.toDouble(DurationUnit.MILLISECONDS),
-        queue.calls.size,
-    )
-
     private companion object {
         const val COMPLETED = "completed"
         const val CANCELLED = "cancelled"
--- a/decision/src/main/kotlin/io/poplarwood/decision/dispatch/SlotAssignment.kt
+++ b/decision/src/main/kotlin/io/poplarwood/decision/dispatch/SlotAssignment.kt
@@ -16,11 +16,14 @@
  * Gives free slots to waiting calls: classes below their kept share first, then by rank, then by waiting time.
  *
  * A call that cannot use a free slot, because it excludes upstreams or must run alone, does not hold up the others.
+ *
+ * @param hold takes a call that may not run now out of its queue; true when it did
  */
 internal class SlotAssignment(
     private val router: Router,
     private val account: SlotAccount,
     private val ticker: Ticker,
+    private val hold: (WaitingCall) -> Boolean,
 ) {
     /** Runs until no waiting call can get a slot; the callbacks see each call after it left its queue. */
     fun assign(
@@ -55,6 +58,7 @@
     ): Boolean {
         for (at in 0 until minOf(queue.calls.size, MOST_SKIPPED)) {
             val row = queue.calls[at]
+            if (hold(row)) return true
             when (val answer = router.reserve(RouteRequest(rankFor(queue), excluded(row), row.alone))) {
                 is Reservation.Granted -> {
                     val by = if (queue.belowShare) AdmittedBy.KEPT_SHARE else AdmittedBy.RANK
--- /dev/null
+++ b/decision/src/test/kotlin/io/poplarwood/decision/crash/CrashSearchSpec.kt
@@ -0,0 +1,125 @@
+package io.poplarwood.decision.crash
+
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.long
+import io.kotest.property.checkAll
+import io.poplarwood.api.id.UpstreamId
+import io.poplarwood.api.random.SplitMix
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+internal class CrashSearchSpec {
+    /** Entries that exchange news late, and one request that kills each upstream that runs it. */
+    private class Fleet(seed: Long, entries: Int) {
+        val random = SplitMix(seed)
+        val tables = List(entries) { n -> CrashTable(position = { EntryPosition(n, entries) }) }
+        val news = ArrayList<Triple<Duration, Int, CrashNews>>()
+        var now = Duration.ZERO
+        var lost = 0
+
+        fun deliver() {
+            for (n in news.filter { it.first <= now }) {
+                tables[n.second].merge(n.third, now)
+                news.remove(n)
+            }
+        }
+
+        /** Sends the request to [entry], which runs it beside an innocent one unless it must run alone. */
+        fun send(entry: Int, innocent: Long) {
+            deliver()
+            val verdict = tables[entry].verdict(POISON, now)
+            if (verdict != CrashVerdict.Free && verdict !is CrashVerdict.Trial) return
+            val alone = verdict is CrashVerdict.Trial && verdict.alone
+            val upstream = UpstreamId("10.0.0.${lost++}:80", "a")
+            tables[entry].started(POISON, now)
+            val startedAt = now
+            now += random.nextInt(20).milliseconds
+            val beside = !alone && tables[entry].verdict(innocent, startedAt).let { it == CrashVerdict.Free }
+            val victims = if (beside) listOf(POISON, innocent) else listOf(POISON)
+            for (v in victims) {
+                if (!tables[entry].lost(v, upstream, startedAt, now)) continue
+                for (peer in tables.indices.filter { it != entry }) {
+                    news += Triple(now + random.nextInt(1_000).milliseconds, peer, CrashNews(v, upstream))
+                }
+            }
+        }
+    }
+
+    @Nested
+    inner class `a request that kills every upstream` {
+        /** Guards against a request that its caller sends again until the fleet is gone. */
+        @Test
+        fun `kills at most three when it is sent through up to three entries`() = runTest {
+            checkAll(PropTestConfig(seed = 3, iterations = 3_000), Arb.long()) { seed ->
+                val fleet = Fleet(seed, entries = 3)
+                repeat(120) {
+                    fleet.now += fleet.random.nextInt(400).milliseconds
+                    fleet.send(fleet.random.nextInt(3), it.toLong() % 7 + 2)
+                }
+                assertTrue(fleet.lost <= 3, "seed $seed lost ${fleet.lost}")
+            }
+        }
+
+        /** Guards against losses after news of the first ones must have arrived, however many entries there are. */
+        @Test
+        fun `kills at most three when each resend keeps to the time it was told`() = runTest {
+            checkAll(PropTestConfig(seed = 4, iterations = 3_000), Arb.long()) { seed ->
+                val fleet = Fleet(seed, entries = 16)
+                repeat(200) {
+                    fleet.now += CrashTable().settle + fleet.random.nextInt(800).milliseconds
+                    fleet.send(fleet.random.nextInt(16), it.toLong() % 7 + 2)
+                }
+                assertTrue(fleet.lost <= 3, "seed $seed lost ${fleet.lost}")
+            }
+        }
+
+        /** Guards against harmless requests that are refused because they shared an upstream with the faulty one. */
+        @Test
+        fun `does not get its neighbours refused`() = runTest {
+            checkAll(PropTestConfig(seed = 5, iterations = 3_000), Arb.long()) { seed ->
+                val fleet = Fleet(seed, entries = 3)
+                repeat(40) {
+                    fleet.now += fleet.random.nextInt(800).milliseconds
+                    fleet.send(fleet.random.nextInt(3), if (fleet.lost < 2) INNOCENT else OTHER)
+                }
+                fleet.now += 2_000.milliseconds
+                fleet.deliver()
+                for (t in fleet.tables) assertTrue(t.verdict(INNOCENT, fleet.now) !is CrashVerdict.Refuse, "seed $seed")
+            }
+        }
+    }
+
+    @Nested
+    inner class `a lost connection` {
+        private val table = CrashTable()
+        private val upstream = UpstreamId("10.0.0.1:80", "a")
+
+        /** Guards against a second's wait after a connection that was reset by something other than a crash. */
+        @Test
+        fun `is no crash when the upstream answers a request that outlived it`() {
+            table.lost(POISON, upstream, 0.milliseconds, 10.milliseconds)
+            assertTrue(table.answered(INNOCENT, upstream, 5.milliseconds, 20.milliseconds))
+            assertEquals(CrashVerdict.Free, table.verdict(POISON, 20.milliseconds))
+        }
+
+        /** Guards against a suspicion that outlives ten minutes. */
+        @Test
+        fun `is forgotten after ten minutes`() {
+            repeat(3) { table.lost(POISON, UpstreamId("10.0.0.$it:80", "a"), Duration.ZERO, Duration.ZERO) }
+            assertTrue(table.verdict(POISON, 2_000.milliseconds) is CrashVerdict.Refuse)
+            assertEquals(CrashVerdict.Free, table.verdict(POISON, CrashSettings().expiry))
+        }
+    }
+
+    private companion object {
+        const val POISON = 1L
+        const val INNOCENT = 2L
+        const val OTHER = 20L
+    }
+}
