--- a/entry/src/main/kotlin/io/poplarwood/entry/http/CallServer.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/http/CallServer.kt
@@ -1,5 +1,6 @@
 package io.poplarwood.entry.http
 
+import io.ktor.server.application.ApplicationCall
 import io.ktor.server.application.ApplicationCallPipeline
 import io.ktor.server.engine.EmbeddedServer
 import io.ktor.server.engine.connector
@@ -23,6 +24,7 @@
  * @param runners takes a service's calls through its decisions; null when there is no such service
  * @param entryName distinguishes the request identifiers of this entry
  * @param connectionLimit connections that this entry may open to an upstream address
+ * @param ownPaths answers what is for the entry itself; false for a request to forward
  */
 class CallServer(
     private val settings: HttpSettings,
@@ -32,6 +34,7 @@
     private val metrics: EntryMetrics = EntryMetrics(),
     private val entryName: String = "entry",
     connectionLimit: (String) -> Int = { settings.upstreamConnections },
+    ownPaths: suspend (ApplicationCall) -> Boolean = { false },
 ) {
     private val sequence = AtomicLong()
     private val forwarder = Forwarder(settings, ticker, connectionLimit)
@@ -53,7 +56,7 @@
             }
             enableHttp2 = false
         }) {
-            intercept(ApplicationCallPipeline.Call) { handler.handle(context) }
+            intercept(ApplicationCallPipeline.Call) { if (!ownPaths(context)) handler.handle(context) }
         }
 
     /** Port that the listener is bound to, after [start]. */
