--- a/standins/src/main/kotlin/io/poplarwood/standins/Module.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package io.poplarwood.standins
-
-internal const val MODULE = "standins"
--- /dev/null
+++ b/standins/src/main/kotlin/io/poplarwood/standins/net/Channels.kt
@@ -0,0 +1,15 @@
+package io.poplarwood.standins.net
+
+import io.ktor.server.netty.NettyApplicationCall
+import io.ktor.server.routing.RoutingCall
+import io.netty.channel.Channel
+import io.netty.channel.ChannelOption
+
+/** The connection that this call came on. */
+internal fun RoutingCall.channel(): Channel = (pipelineCall.engineCall as NettyApplicationCall).context.channel()
+
+/** Closes the connection with a reset, so that the other side sees a failure and not an end. */
+internal fun Channel.reset() {
+    config().setOption(ChannelOption.SO_LINGER, 0)
+    close()
+}
--- /dev/null
+++ b/standins/src/main/kotlin/io/poplarwood/standins/net/LoopbackServer.kt
@@ -0,0 +1,60 @@
+package io.poplarwood.standins.net
+
+import io.ktor.server.application.Application
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.connector
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.netty.Netty
+import io.ktor.server.netty.NettyApplicationEngine
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import java.util.concurrent.atomic.AtomicReference
+
+internal const val LOOPBACK = "127.0.0.1"
+
+/** A Netty server on loopback with one thread per group, since a test runs dozens of them. */
+internal class LoopbackServer(
+    private val port: Int,
+    private val perConnection: (Channel) -> Unit = {},
+    private val module: Application.() -> Unit,
+) {
+    private val listening = AtomicReference<Channel>()
+    private var server: EmbeddedServer<NettyApplicationEngine, NettyApplicationEngine.Configuration>? = null
+
+    /** Binds and returns the port. */
+    suspend fun start(): Int {
+        val started = embeddedServer(Netty, configure = { configure() }, module = module)
+        server = started
+        started.startSuspend(wait = false)
+        return started.engine.resolvedConnectors().first().port
+    }
+
+    /** Closes the listening socket; connections stay. */
+    fun stopListening() {
+        listening.get()?.close()?.syncUninterruptibly()
+    }
+
+    suspend fun stop() {
+        server?.stopSuspend(gracePeriodMillis = 0, timeoutMillis = STOP_MS)
+    }
+
+    private fun NettyApplicationEngine.Configuration.configure() {
+        connector {
+            host = LOOPBACK
+            port = this@LoopbackServer.port
+        }
+        connectionGroupSize = 1
+        workerGroupSize = 1
+        callGroupSize = 1
+        configureBootstrap = {
+            handler(object : ChannelInitializer<Channel>() {
+                override fun initChannel(channel: Channel) = listening.set(channel)
+            })
+        }
+        channelPipelineConfig = { perConnection(channel()) }
+    }
+
+    private companion object {
+        const val STOP_MS = 200L
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/io/poplarwood/standins/platform/MemoryObjects.kt
@@ -0,0 +1,20 @@
+package io.poplarwood.standins.platform
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.poplarwood.api.platform.ObjectStore
+import io.poplarwood.api.platform.StoreFailure
+import java.util.concurrent.ConcurrentHashMap
+
+/** Store of immutable objects in memory. */
+internal class MemoryObjects(private val gate: FaultGate) : ObjectStore {
+    private val objects = ConcurrentHashMap<String, ByteArray>()
+
+    override suspend fun put(name: String, bytes: ByteArray): Result<Unit, StoreFailure> = gate.write(1) {
+        val there = objects.putIfAbsent(name, bytes.copyOf())
+        if (there == null || there.contentEquals(bytes)) Ok(Unit) else Err(StoreFailure.Conflict(name, 1))
+    }
+
+    override suspend fun get(name: String): Result<ByteArray?, StoreFailure> = gate.read { objects[name] }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/io/poplarwood/standins/platform/PlatformCounts.kt
@@ -0,0 +1,7 @@
+package io.poplarwood.standins.platform
+
+import kotlinx.serialization.Serializable
+
+/** Operations that the stand-in platform took in since its start, throttled ones included. */
+@Serializable
+data class PlatformCounts(val reads: Long, val writes: Long, val lists: Long, val throttled: Long)
--- /dev/null
+++ b/standins/src/main/kotlin/io/poplarwood/standins/upstream/Connections.kt
@@ -0,0 +1,61 @@
+package io.poplarwood.standins.upstream
+
+import io.netty.channel.Channel
+import io.netty.channel.ChannelDuplexHandler
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelPromise
+import io.netty.util.ReferenceCountUtil
+import io.poplarwood.standins.net.reset
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+
+/** The open connections of one upstream: limit, silence and crash. */
+internal class Connections(private val limit: Int) {
+    private val open = ConcurrentHashMap.newKeySet<Channel>()
+    private val silent = ConcurrentHashMap.newKeySet<Channel>()
+    val accepted = AtomicLong()
+    val refused = AtomicLong()
+
+    val count: Int get() = open.size
+
+    /** Called for each new connection before it reads. */
+    fun register(channel: Channel) {
+        if (open.size >= limit) {
+            refused.incrementAndGet()
+            channel.reset()
+            return
+        }
+        accepted.incrementAndGet()
+        open.add(channel)
+        channel.closeFuture().addListener {
+            open.remove(channel)
+            silent.remove(channel)
+        }
+        channel.pipeline().addFirst(Silencer())
+    }
+
+    /** Makes the connections that are open now drop everything in both directions without closing. */
+    fun silence(): Int {
+        val now = open.toList()
+        silent.addAll(now)
+        return now.size
+    }
+
+    /** Resets every connection. */
+    fun resetAll() = open.toList().forEach { it.reset() }
+
+    private inner class Silencer : ChannelDuplexHandler() {
+        override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            if (context.channel() in silent) ReferenceCountUtil.release(message) else context.fireChannelRead(message)
+        }
+
+        override fun write(context: ChannelHandlerContext, message: Any, promise: ChannelPromise) {
+            if (context.channel() in silent) {
+                ReferenceCountUtil.release(message)
+                promise.trySuccess()
+            } else {
+                context.write(message, promise)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/io/poplarwood/standins/upstream/Pattern.kt
@@ -0,0 +1,28 @@
+package io.poplarwood.standins.upstream
+
+import java.security.MessageDigest
+
+/** Bodies that can be checked byte by byte without keeping them. */
+object Pattern {
+    private const val PRIME = 31
+
+    /** The byte at [index] of the body made for [token]. */
+    fun byteAt(token: String, index: Long): Byte = (token.hashCode() + index * PRIME + (index shr 8)).toByte()
+
+    /** [length] bytes of the body made for [token], from [offset] on. */
+    fun bytes(token: String, offset: Long, length: Int): ByteArray = ByteArray(length) { byteAt(token, offset + it) }
+
+    /** SHA-256 of the first [length] bytes of the body made for [token], in hexadecimal digits. */
+    fun digest(token: String, length: Long): String {
+        val digest = MessageDigest.getInstance("SHA-256")
+        var at = 0L
+        while (at < length) {
+            val chunk = minOf(CHUNK.toLong(), length - at).toInt()
+            digest.update(bytes(token, at, chunk))
+            at += chunk
+        }
+        return digest.digest().toHexString()
+    }
+
+    internal const val CHUNK: Int = 16_384
+}
--- /dev/null
+++ b/standins/src/main/kotlin/io/poplarwood/standins/upstream/SlotGate.kt
@@ -0,0 +1,64 @@
+package io.poplarwood.standins.upstream
+
+import io.poplarwood.api.time.Ticker
+import kotlinx.coroutines.sync.Semaphore
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration
+
+/** The slots of one upstream and the history of their use, for reports that lag. */
+internal class SlotGate(private val slots: Int, private val queueLimit: Int, private val ticker: Ticker) {
+    private val semaphore = Semaphore(slots)
+    private val queued = AtomicInteger()
+    private val history = ArrayDeque<Sample>()
+    private var running = 0
+
+    var maxInFlight = 0
+        private set
+
+    val inFlight: Int get() = synchronized(history) { running }
+
+    /** Takes a slot, waiting where the upstream queues; false when the request is shed. */
+    suspend fun enter(): Boolean {
+        if (!semaphore.tryAcquire() && !waitForSlot()) return false
+        record(1)
+        return true
+    }
+
+    fun leave() {
+        record(-1)
+        semaphore.release()
+    }
+
+    /** Requests in flight [lag] ago. */
+    fun inFlight(lag: Duration): Int = synchronized(history) {
+        if (lag == Duration.ZERO) return running
+        val at = ticker.now() - lag
+        history.lastOrNull { it.at <= at }?.running ?: 0
+    }
+
+    private suspend fun waitForSlot(): Boolean {
+        if (queued.incrementAndGet() > queueLimit) {
+            queued.decrementAndGet()
+            return false
+        }
+        try {
+            semaphore.acquire()
+        } finally {
+            queued.decrementAndGet()
+        }
+        return true
+    }
+
+    private fun record(change: Int) = synchronized(history) {
+        running += change
+        maxInFlight = maxOf(maxInFlight, running)
+        history.addLast(Sample(ticker.now(), running))
+        if (history.size > HISTORY) history.removeFirst()
+    }
+
+    private class Sample(val at: Duration, val running: Int)
+
+    private companion object {
+        const val HISTORY = 4_096
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/io/poplarwood/standins/upstream/UpstreamOptions.kt
@@ -0,0 +1,29 @@
+package io.poplarwood.standins.upstream
+
+import io.poplarwood.api.id.ServiceName
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * What a stand-in upstream is.
+ *
+ * @property slots requests it runs at once
+ * @property connectionLimit connections it accepts; further ones are closed at once
+ * @property serviceTime median time a request takes, unless its header [StandInHeaders.WORK_MS] names another
+ * @property spread sigma of the log-normal distribution of service times; 0 makes all equal
+ * @property coldStart time after start during which requests take longer
+ * @property coldFactor factor on service times at the start; falls to 1 over [coldStart]
+ * @property queueLimit requests that may wait for a slot; 0 sheds at once
+ * @property seed seed of the service times
+ */
+data class UpstreamOptions(
+    val service: ServiceName,
+    val slots: Int = 3,
+    val connectionLimit: Int = 250,
+    val serviceTime: Duration = 10.milliseconds,
+    val spread: Double = 0.3,
+    val coldStart: Duration = Duration.ZERO,
+    val coldFactor: Double = 5.0,
+    val queueLimit: Int = 0,
+    val seed: Long = 1,
+)
