Close the gaps of both HTTP engines on the data path

Cause: the Netty engine takes cut bodies and bad chunk sizes for clean ends, ends a failed answer with a final chunk and accepts requests without Host; the client engine retries and follows redirects unless told not to.

Change: a guard between codec and engine on each caller's connection refuses bad framing before anything runs, records which bodies arrived whole and lets nothing follow a cut answer. Attempts run under a watch that ends those past their deadline and those on silent connections. Small answers are read whole first, so one that is cut can still be retried. Limits on heads, bodies, slow senders, idle time and connections per address are typed refusals.

--- /dev/null
+++ b/entry/src/main/kotlin/io/poplarwood/entry/forward/CallerFault.kt
@@ -0,0 +1,6 @@
+package io.poplarwood.entry.forward
+
+import java.io.IOException
+
+/** An exchange ended because of its caller; the upstream is not to blame. */
+internal open class CallerFault(message: String, cause: Throwable? = null) : IOException(message, cause)
--- /dev/null
+++ b/entry/src/main/kotlin/io/poplarwood/entry/forward/CallerGone.kt
@@ -0,0 +1,6 @@
+package io.poplarwood.entry.forward
+
+import kotlinx.coroutines.CancellationException
+
+/** The caller disconnected before its answer was complete. */
+internal class CallerGone : CancellationException("the caller disconnected")
--- a/entry/src/main/kotlin/io/poplarwood/entry/forward/Exchange.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/forward/Exchange.kt
@@ -1,26 +1,73 @@
 package io.poplarwood.entry.forward
 
+import io.poplarwood.api.time.Ticker
+import io.poplarwood.decision.routing.AttemptResult
+import kotlinx.coroutines.Job
 import kotlin.time.Duration
 
 /**
  * What is known about one attempt beside the engine's own request.
  *
- * The engine's threads write it, the attempt's coroutine reads it.
+ * The engine's threads and the attempt's coroutine write it, the watch over all exchanges reads it.
  */
-internal class Exchange(val outbound: Outbound) {
+internal class Exchange(val outbound: Outbound, private val job: Job, private val ticker: Ticker) : BodyProgress {
     /** True from the moment the request is given to a connection; before that it provably did not run. */
     @Volatile
     var handed: Boolean = false
+        private set
 
     /** True when the connection served an earlier request. */
     @Volatile
     var reused: Boolean = false
+        private set
 
     /** Reading of the ticker when the connection last showed activity. */
     @Volatile
     var lastActivity: Duration = Duration.ZERO
+        private set
 
     /** True while the next bytes of the body are awaited from the caller. */
     @Volatile
-    var awaitingCaller: Boolean = false
+    var callerAwaited: Boolean = false
+        private set
+
+    /** True once the head of the answer arrived. */
+    @Volatile
+    var answering: Boolean = false
+        private set
+
+    /** Why the exchange was ended from outside; null when it was not. */
+    @Volatile
+    var verdict: AttemptResult? = null
+        private set
+
+    /** Notes that the request goes to a connection that is [reused] or fresh. */
+    fun handOver(reused: Boolean) {
+        this.reused = reused
+        lastActivity = ticker.now()
+        handed = true
+    }
+
+    /** Notes the head of the answer; returns the time since the last activity. */
+    fun headArrived(): Duration {
+        answering = true
+        return ticker.now() - lastActivity
+    }
+
+    /** Ends the exchange with [result] and closes its connection. */
+    fun end(result: AttemptResult) {
+        verdict = result
+        job.cancel()
+    }
+
+    override fun failed() = end(AttemptResult.CANCELLED)
+
+    override fun awaitingCaller() {
+        callerAwaited = true
+    }
+
+    override fun sending() {
+        lastActivity = ticker.now()
+        callerAwaited = false
+    }
 }
--- a/entry/src/main/kotlin/io/poplarwood/entry/forward/ExchangeInterceptor.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/forward/ExchangeInterceptor.kt
@@ -1,6 +1,5 @@
 package io.poplarwood.entry.forward
 
-import io.poplarwood.api.time.Ticker
 import org.apache.hc.client5.http.async.AsyncExecCallback
 import org.apache.hc.client5.http.async.AsyncExecChain
 import org.apache.hc.client5.http.async.AsyncExecChainHandler
@@ -13,7 +12,7 @@
  * Last step before the engine gives a request to its connection: marks the exchange as handed over, so that every
  * failure before it is known not to have run, and restores what the engine changed.
  */
-internal class ExchangeInterceptor(private val ticker: Ticker) : AsyncExecChainHandler {
+internal class ExchangeInterceptor : AsyncExecChainHandler {
     private val exchanges = ConcurrentHashMap<String, Exchange>()
 
     /** Ties [exchange] to the request whose internal header carries [key]. */
@@ -51,8 +50,6 @@
             request.removeHeaders(HttpHeaders.ACCEPT)
         }
         val served = scope.clientContext.endpointDetails?.requestCount ?: 0
-        exchange.reused = served > 0
-        exchange.lastActivity = ticker.now()
-        exchange.handed = true
+        exchange.handOver(reused = served > 0)
     }
 }
--- a/entry/src/main/kotlin/io/poplarwood/entry/forward/Forwarder.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/forward/Forwarder.kt
@@ -6,18 +6,22 @@
 import io.ktor.client.statement.HttpResponse
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpMethod
-import io.ktor.http.content.ByteArrayContent
-import io.ktor.http.content.OutgoingContent
-import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.InternalAPI
 import io.poplarwood.api.http.Headers
 import io.poplarwood.api.time.Ticker
 import io.poplarwood.decision.routing.AttemptEvidence
 import io.poplarwood.decision.routing.AttemptResult
+import io.poplarwood.entry.metrics.EntryMetrics
 import io.poplarwood.entry.settings.HttpSettings
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.ensureActive
-import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.job
+import kotlinx.coroutines.launch
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -27,16 +31,42 @@
  * Sends attempts to upstreams and streams their answers.
  *
  * @param connectionLimit connections that this entry may open to an upstream address
+ * @param probeAllowed whether the measuring budget allows a probe of an address now
  */
 internal class Forwarder(
     settings: HttpSettings,
     private val ticker: Ticker,
+    private val metrics: EntryMetrics,
     private val connectionLimit: (String) -> Int,
+    private val probeAllowed: (String) -> Boolean,
 ) : AutoCloseable {
+    private val idle = settings.upstreamIdleMs.milliseconds
     private val threads = if (settings.upstreamThreads > 0) settings.upstreamThreads else DEFAULT_THREADS
-    private val reused = UpstreamPool(settings, ticker, settings.upstreamIdleMs.milliseconds, threads)
-    private val recent = UpstreamPool(settings, ticker, RECENT, threads)
+    private val lasting = UpstreamPool(settings, idle, threads)
+    private val recent = UpstreamPool(settings, RECENT, threads)
+    private val probe = UpstreamProbe(settings)
+    private val latencies = LatencyWindow()
+    private val doubted = ConcurrentHashMap<String, Duration>()
     private val keys = AtomicLong()
+    private lateinit var background: CoroutineScope
+    private val watch = ExchangeWatch(ticker, latencies, ::startProbe, ::foundSilent)
+
+    /** Starts the periodic work in [scope]. */
+    fun start(scope: CoroutineScope) {
+        background = scope
+        scope.launch {
+            var closed = ticker.now()
+            while (isActive) {
+                delay(TICK)
+                watch.tick()
+                if (ticker.now() - closed < RECENT) continue
+                closed = ticker.now()
+                lasting.closeExpired()
+                recent.closeExpired()
+                doubted.values.removeIf { closed - it > idle }
+            }
+        }
+    }
 
     /**
      * Sends [outbound] and hands an answer that ran to [deliver].
@@ -45,45 +75,61 @@
      */
     suspend fun send(outbound: Outbound, deliver: suspend (UpstreamAnswer) -> Unit): AttemptEvidence {
         val started = ticker.now()
-        val exchange = Exchange(outbound)
-        val pool = if (outbound.recentOnly) recent else reused
+        val pool = if (outbound.recentOnly || doubted.containsKey(outbound.address)) recent else lasting
         pool.limit(outbound.address, connectionLimit(outbound.address))
         val key = keys.incrementAndGet().toString()
-        pool.interceptor.register(key, exchange)
-        var reported: Load? = null
+        var exchange: Exchange? = null
+        var load: Load? = null
         val result =
             try {
-                withHeadDeadline(outbound.deadline - started) { headArrived ->
-                    request(pool, exchange, key) { response ->
-                        headArrived()
-                        reported = Load.parse(response.headers[Headers.LOAD])
+                coroutineScope {
+                    val begun = Exchange(outbound, coroutineContext.job, ticker)
+                    exchange = begun
+                    pool.interceptor.register(key, begun)
+                    watch.add(begun)
+                    request(pool, begun, key) { response ->
+                        latencies.add(outbound.latencyKey, begun.headArrived())
+                        load = Load.parse(response.headers[Headers.LOAD])
                         take(response, deliver)
                     }
                 }
             } catch (e: Exception) {
                 currentCoroutineContext().ensureActive()
-                if (exchange.handed) AttemptResult.CONNECTION_LOST else AttemptResult.CONNECT_FAILED
+                failureOf(e, exchange)
             } finally {
                 pool.interceptor.forget(key)
+                exchange?.let(watch::remove)
             }
-        return AttemptEvidence(result, ticker.now() - started, reported?.inFlight, reported?.slots)
+        return AttemptEvidence(result, ticker.now() - started, load?.inFlight, load?.slots)
     }
 
-    /** Closes connections whose idle age is over; called about once a second. */
-    fun closeExpired() {
-        reused.closeExpired()
-        recent.closeExpired()
-    }
+    /** Sends a probe to [address] on a fresh connection; true when an answer came. */
+    suspend fun probe(address: String): Boolean = probe.send(address).also(metrics::silenceProbe)
 
     override fun close() {
-        reused.close()
+        lasting.close()
         recent.close()
+        probe.close()
     }
 
-    private suspend fun withHeadDeadline(
-        limit: Duration,
-        send: suspend (headArrived: () -> Unit) -> AttemptResult,
-    ): AttemptResult = withTimeoutOrNull(limit) { send {} } ?: AttemptResult.TIMED_OUT
+    private fun failureOf(cause: Exception, exchange: Exchange?): AttemptResult =
+        exchange?.verdict ?: when {
+            generateSequence<Throwable>(cause) { it.cause }.any { it is CallerFault } -> AttemptResult.CANCELLED
+            exchange?.handed == true -> AttemptResult.CONNECTION_LOST
+            else -> AttemptResult.CONNECT_FAILED
+        }
+
+    private fun startProbe(address: String, done: (Boolean) -> Unit): Boolean {
+        if (!probeAllowed(address)) return false
+        background.launch { done(probe(address)) }
+        return true
+    }
+
+    /** Idle connections to the address may have lost their state as well: none of them is used again. */
+    private fun foundSilent(address: String) {
+        doubted[address] = ticker.now()
+        metrics.silentConnection()
+    }
 
     private suspend fun <T> request(
         pool: UpstreamPool,
@@ -97,7 +143,7 @@
             url("http://${outbound.address}/")
             for ((name, value) in outbound.headers) headers.append(name, value)
             headers.append(HopHeaders.EXCHANGE, key)
-            setBody(content(outbound.body))
+            setBody(OutboundContent.of(outbound.body, exchange))
         }.execute { read(it) }
     }
 
@@ -115,28 +161,13 @@
         return if (status >= SERVER_ERROR) AttemptResult.SERVER_ERROR else AttemptResult.ANSWERED
     }
 
-    private fun content(body: RequestBody): OutgoingContent =
-        when (body) {
-            is RequestBody.None -> NoBody
-
-            is RequestBody.Kept -> ByteArrayContent(body.bytes)
-
-            is RequestBody.Arriving ->
-                object : OutgoingContent.WriteChannelContent() {
-                    override val contentLength: Long? = body.length
-
-                    override suspend fun writeTo(channel: ByteWriteChannel) = body.copy(channel)
-                }
-        }
-
-    private object NoBody : OutgoingContent.NoContent()
-
     private companion object {
         const val SERVICE_UNAVAILABLE = 503
         const val SERVER_ERROR = 500
         const val DEFAULT_THREADS = 2
+        val TICK = 20.milliseconds
 
-        /** A connection that answered this recently cannot have lost its state on the path unnoticed for long. */
+        /** A connection that answered this recently has most likely not lost its state on the path. */
         val RECENT = 1.seconds
     }
 }
--- /dev/null
+++ b/entry/src/main/kotlin/io/poplarwood/entry/forward/LatencyWindow.kt
@@ -0,0 +1,39 @@
+package io.poplarwood.entry.forward
+
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.nanoseconds
+
+/** Recent times to the head of an answer, by kind of request. */
+internal class LatencyWindow {
+    private val windows = ConcurrentHashMap<String, Window>()
+
+    /** Adds one time of [key]. */
+    fun add(key: String, time: Duration) = windows.computeIfAbsent(key) { Window() }.add(time.inWholeNanoseconds)
+
+    /** The 99th percentile of the recent times of [key]; null before the first. */
+    fun p99(key: String): Duration? = windows[key]?.p99()?.nanoseconds
+
+    private class Window {
+        private val times = LongArray(SIZE)
+        private var count = 0
+
+        @Synchronized
+        fun add(nanos: Long) {
+            times[count % SIZE] = nanos
+            count++
+        }
+
+        @Synchronized
+        fun p99(): Long? {
+            val size = minOf(count, SIZE)
+            if (size == 0) return null
+            val sorted = times.copyOf(size).apply { sort() }
+            return sorted[(size - 1) * 99 / 100]
+        }
+    }
+
+    private companion object {
+        const val SIZE = 256
+    }
+}
--- a/entry/src/main/kotlin/io/poplarwood/entry/forward/RequestBody.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/forward/RequestBody.kt
@@ -16,5 +16,5 @@
      * @property length declared length; null when it comes in chunks
      * @property copy writes the whole body to a channel and fails when it arrives incomplete
      */
-    class Arriving(val length: Long?, val copy: suspend (ByteWriteChannel) -> Unit) : RequestBody
+    class Arriving(val length: Long?, val copy: suspend (ByteWriteChannel, BodyProgress) -> Unit) : RequestBody
 }
--- a/entry/src/main/kotlin/io/poplarwood/entry/forward/UpstreamPool.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/forward/UpstreamPool.kt
@@ -2,7 +2,6 @@
 
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.apache5.Apache5
-import io.poplarwood.api.time.Ticker
 import io.poplarwood.entry.settings.HttpSettings
 import org.apache.hc.client5.http.HttpRoute
 import org.apache.hc.client5.http.config.ConnectionConfig
@@ -18,9 +17,9 @@
 import kotlin.time.Duration
 
 /** Connections to upstreams that are kept for reuse for at most [idle]; zero opens a fresh one for each request. */
-internal class UpstreamPool(settings: HttpSettings, ticker: Ticker, idle: Duration, threads: Int) : AutoCloseable {
+internal class UpstreamPool(settings: HttpSettings, idle: Duration, threads: Int) : AutoCloseable {
     /** Ties requests of [client] to their exchanges. */
-    val interceptor = ExchangeInterceptor(ticker)
+    val interceptor = ExchangeInterceptor()
 
     private val limits = ConcurrentHashMap<String, Int>()
     private val manager: PoolingAsyncClientConnectionManager =
--- /dev/null
+++ b/entry/src/main/kotlin/io/poplarwood/entry/forward/UpstreamProbe.kt
@@ -0,0 +1,30 @@
+package io.poplarwood.entry.forward
+
+import io.ktor.client.request.prepareGet
+import io.poplarwood.entry.settings.HttpSettings
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Asks upstreams for any answer at all on a connection opened for the purpose. */
+internal class UpstreamProbe(private val settings: HttpSettings) : AutoCloseable {
+    private val fresh = UpstreamPool(settings, Duration.ZERO, threads = 1)
+
+    /** True when [address] answered, whatever the status. */
+    suspend fun send(address: String): Boolean =
+        try {
+            withTimeoutOrNull(settings.probeTimeoutMs.milliseconds) {
+                fresh.client.prepareGet("http://$address${settings.probePath}").execute { true }
+            } ?: false
+        } catch (e: CancellationException) {
+            currentCoroutineContext().ensureActive()
+            false
+        } catch (_: Exception) {
+            false
+        }
+
+    override fun close() = fresh.close()
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/poplarwood/entry/http/BodilessAnswer.kt
@@ -0,0 +1,8 @@
+package io.poplarwood.entry.http
+
+import io.ktor.http.HttpStatusCode
+import io.ktor.http.content.OutgoingContent
+
+/** An answer that never has a body, whatever length it states (RFC 9112, 6.3). */
+internal class BodilessAnswer(override val status: HttpStatusCode, override val contentLength: Long?) :
+    OutgoingContent.NoContent()
--- a/entry/src/main/kotlin/io/poplarwood/entry/http/BodyFailure.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/http/BodyFailure.kt
@@ -1,7 +1,7 @@
 package io.poplarwood.entry.http
 
 import io.poplarwood.api.outcome.Refusal
-import java.io.IOException
+import io.poplarwood.entry.forward.CallerFault
 
 /** The caller's body cannot be taken in; [refusal] says why. */
-internal class BodyFailure(val refusal: Refusal) : IOException(refusal.reason.wire)
+internal class BodyFailure(val refusal: Refusal) : CallerFault(refusal.reason.wire)
--- a/entry/src/main/kotlin/io/poplarwood/entry/http/BodyReader.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/http/BodyReader.kt
@@ -1,53 +1,107 @@
 package io.poplarwood.entry.http
 
-import io.ktor.server.application.ApplicationCall
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.availableForRead
 import io.ktor.utils.io.readAvailable
 import io.ktor.utils.io.writeFully
 import io.poplarwood.api.outcome.Refusal
 import io.poplarwood.api.outcome.RefusalReason
+import io.poplarwood.api.time.Ticker
+import io.poplarwood.entry.forward.BodyProgress
 import io.poplarwood.entry.metrics.EntryMetrics
+import io.poplarwood.entry.settings.HttpSettings
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.DurationUnit
 
-/** Reads one request's body from its caller. */
+/**
+ * Reads one request's body from its caller.
+ *
+ * The engine ends a body that was cut as if it were complete; whether it is, only the connection's guard knows.
+ *
+ * @property length declared length; null when it comes in chunks
+ */
 internal class BodyReader(
-    call: ApplicationCall,
+    private val channel: ByteReadChannel,
+    private val exchange: CallerExchange,
     private val length: Long?,
     private val maxBytes: Long,
+    private val settings: HttpSettings,
+    private val ticker: Ticker,
     private val metrics: EntryMetrics,
 ) {
-    private val channel: ByteReadChannel = call.request.receiveChannel()
+    private val stall = settings.bodyStallMs.milliseconds
+    private var waited = Duration.ZERO
+    private var total = 0L
+
+    /** Why the body could not be read; null while it could. */
+    @Volatile
+    var failure: BodyFailure? = null
+        private set
+
+    /** Waits for the first bytes, so that a body broken from the start is refused before anything runs. */
+    suspend fun awaitStart() {
+        awaitBytes()
+        if (channel.isClosedForRead) checkEnd()
+    }
 
     /** Reads a body of a declared length into memory. */
     suspend fun whole(): ByteArray {
-        val size = checkNotNull(length).toInt()
-        val bytes = ByteArray(size)
-        var at = 0
-        while (at < size) {
-            val read = channel.readAvailable(bytes, at, size - at)
-            if (read < 0) throw BodyFailure(Refusal(RefusalReason.MALFORMED))
-            at += read
+        val bytes = ByteArray(checkNotNull(length).toInt())
+        while (total < bytes.size) {
+            val read = read(bytes, total.toInt(), bytes.size - total.toInt())
+            if (read < 0) break
         }
-        metrics.requestBytes(size.toLong())
+        checkEnd()
         return bytes
     }
 
     /** Copies the body to [out] as it arrives. */
-    suspend fun copyTo(out: ByteWriteChannel) {
+    suspend fun copyTo(out: ByteWriteChannel, progress: BodyProgress) {
         val buffer = ByteArray(BUFFER_BYTES)
-        var total = 0L
         while (true) {
-            val read = channel.readAvailable(buffer, 0, buffer.size)
+            progress.awaitingCaller()
+            val read = read(buffer, 0, buffer.size)
+            progress.sending()
             if (read < 0) break
-            total += read
-            if (total > maxBytes) throw BodyFailure(Refusal(RefusalReason.BODY_TOO_LARGE))
             out.writeFully(buffer, 0, read)
             out.flush()
+        }
+        checkEnd()
+    }
+
+    private suspend fun read(buffer: ByteArray, at: Int, size: Int): Int {
+        awaitBytes()
+        val read = channel.readAvailable(buffer, at, size)
+        if (read > 0) {
+            total += read
             metrics.requestBytes(read.toLong())
+            if (total > maxBytes) fail(RefusalReason.BODY_TOO_LARGE)
         }
-        if (length != null && total != length) throw BodyFailure(Refusal(RefusalReason.MALFORMED))
+        return read
+    }
+
+    private suspend fun awaitBytes() {
+        if (channel.availableForRead > 0 || channel.isClosedForRead) return
+        val from = ticker.now()
+        withTimeoutOrNull(stall) { channel.awaitContent() } ?: fail(RefusalReason.SLOW_CALLER)
+        waited += ticker.now() - from
+        if (waited < stall) return
+        val rate = total / waited.toDouble(DurationUnit.SECONDS)
+        if (rate < settings.minBodyBytesPerSecond) fail(RefusalReason.SLOW_CALLER)
     }
 
+    private fun checkEnd() {
+        if (length != null && total == length) return
+        if (length == null && exchange.isComplete) return
+        val refusal = exchange.broken ?: Refusal(RefusalReason.CALLER_GONE)
+        throw BodyFailure(refusal).also { failure = it }
+    }
+
+    private fun fail(reason: RefusalReason): Nothing = throw BodyFailure(Refusal(reason)).also { failure = it }
+
     private companion object {
         const val BUFFER_BYTES = 16 * 1024
     }
--- a/entry/src/main/kotlin/io/poplarwood/entry/http/CallHandler.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/http/CallHandler.kt
@@ -1,27 +1,25 @@
 package io.poplarwood.entry.http
 
 import com.github.michaelbull.result.getOrElse
-import io.ktor.http.HttpHeaders
 import io.ktor.server.application.ApplicationCall
-import io.poplarwood.api.http.Headers
+import io.ktor.server.netty.NettyApplicationRequest
 import io.poplarwood.api.id.RequestId
 import io.poplarwood.api.id.ServiceName
 import io.poplarwood.api.outcome.Refusal
 import io.poplarwood.api.outcome.RefusalReason
 import io.poplarwood.api.time.Ticker
-import io.poplarwood.decision.dispatch.Command
-import io.poplarwood.decision.routing.AttemptEvidence
-import io.poplarwood.decision.routing.AttemptResult
 import io.poplarwood.entry.forward.Forwarder
 import io.poplarwood.entry.forward.HopHeaders
-import io.poplarwood.entry.forward.Outbound
-import io.poplarwood.entry.forward.RequestBody
 import io.poplarwood.entry.metrics.EntryMetrics
 import io.poplarwood.entry.runtime.CallRunner
-import kotlin.time.Duration
+import io.poplarwood.entry.settings.HttpSettings
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.job
+import java.util.concurrent.atomic.AtomicInteger
 
 /** Takes one request of a caller from its head to its final answer. */
 internal class CallHandler(
+    private val settings: HttpSettings,
     private val reader: RequestReader,
     private val runners: (ServiceName) -> CallRunner?,
     private val forwarder: Forwarder,
@@ -30,8 +28,31 @@
     private val metrics: EntryMetrics,
     private val requestIds: () -> RequestId,
 ) {
+    private val running = AtomicInteger()
+
+    /** Requests that have no final answer yet. */
+    val inFlight: Int get() = running.get()
+
     /** Answers [call]. */
     suspend fun handle(call: ApplicationCall) {
+        val request = call.request as NettyApplicationRequest
+        val connection = request.context.channel().attr(CallerConnection.KEY).get()
+        val exchange = CallerExchange(connection, checkNotNull(request.headers[HopHeaders.EXCHANGE]).toInt())
+        running.incrementAndGet()
+        metrics.started()
+        try {
+            coroutineScope {
+                exchange.attach(coroutineContext.job)
+                answer(call, exchange)
+            }
+        } finally {
+            exchange.detach()
+            metrics.ended()
+            running.decrementAndGet()
+        }
+    }
+
+    private suspend fun answer(call: ApplicationCall, exchange: CallerExchange) {
         val id = requestIds()
         val inbound =
             reader.read(call.request, id).getOrElse {
@@ -41,13 +62,8 @@
         val runner = runners(inbound.service)
         if (runner == null) {
             refuse(call, Refusal(RefusalReason.UNKNOWN_SERVICE), id)
-            return
-        }
-        metrics.started()
-        try {
-            run(call, inbound, runner, id)
-        } finally {
-            metrics.ended()
+        } else {
+            run(call, inbound, runner, exchange)
         }
     }
 
@@ -55,84 +71,46 @@
         call: ApplicationCall,
         inbound: Inbound,
         runner: CallRunner,
-        id: RequestId,
+        exchange: CallerExchange,
     ) {
-        val attempts = CallAttempts(call, inbound, id)
-        val body =
+        val body = if (inbound.bodyLength == 0L) null else bodyReader(call, inbound, exchange)
+        val attempts = CallAttempts(call, inbound, exchange, body, forwarder, writer, ticker, metrics)
+        val refusal =
             try {
-                attempts.body()
+                attempts.prepare()
+                attempts.finalRefusal(runner.run(inbound.call) { attempts.attempt(it) })
             } catch (e: BodyFailure) {
-                refuse(call, e.refusal, id)
-                return
+                e.refusal
             }
-        val refusal = runner.run(inbound.call) { attempts.attempt(it, body) }
-        val took = ticker.now() - inbound.call.arrived
         val outcome = refusal?.reason?.kind?.wire ?: ANSWERED
-        metrics.finished(inbound.service.value, inbound.workClass.name.value, outcome, took)
-        if (refusal != null && !attempts.committed) refuse(call, refusal, id)
-    }
-
-    private suspend fun refuse(call: ApplicationCall, refusal: Refusal, id: RequestId) {
-        metrics.refused(refusal.reason)
-        writer.refuse(call, refusal, id)
-    }
+        metrics.finished(inbound.service, inbound.workClass.name, outcome, ticker.now() - inbound.call.arrived)
+        when {
+            attempts.committed -> Unit
 
-    /** The attempts of one call. */
-    private inner class CallAttempts(
-        private val call: ApplicationCall,
-        private val inbound: Inbound,
-        private val id: RequestId,
-    ) {
-        /** True once the head of an answer went to the caller, after which no further attempt may answer. */
-        var committed: Boolean = false
-            private set
+            refusal != null -> refuse(call, refusal, inbound.call.request)
 
-        suspend fun body(): RequestBody {
-            val length = inbound.bodyLength
-            if (length == 0L) return RequestBody.None
-            val reader = BodyReader(call, length, inbound.workClass.maxBodyBytes, metrics)
-            if (inbound.call.replayable) return RequestBody.Kept(reader.whole())
-            return RequestBody.Arriving(length) { reader.copyTo(it) }
+            // The decisions ended the call without an answer; the caller must not take that for an empty one.
+            else -> exchange.abort()
         }
+    }
 
-        suspend fun attempt(dispatch: Command.Dispatch, body: RequestBody): AttemptEvidence {
-            // An answer that was cut after its head cannot be given again; the call ends as if its caller had gone.
-            if (committed) return AttemptEvidence(AttemptResult.CANCELLED, Duration.ZERO)
-            dispatch.retry?.let(metrics::retried)
-            val evidence =
-                forwarder.send(outbound(dispatch, body)) { answer ->
-                    writer.pass(call, answer, id) { committed = true }
-                }
-            metrics.attempted(evidence.result.name.lowercase())
-            return evidence
-        }
+    private fun bodyReader(
+        call: ApplicationCall,
+        inbound: Inbound,
+        exchange: CallerExchange,
+    ) = BodyReader(
+        channel = call.request.receiveChannel(),
+        exchange = exchange,
+        length = inbound.bodyLength,
+        maxBytes = inbound.workClass.maxBodyBytes,
+        settings = settings,
+        ticker = ticker,
+        metrics = metrics,
+    )
 
-        private fun outbound(dispatch: Command.Dispatch, body: RequestBody): Outbound {
-            val remaining = (inbound.call.deadline - ticker.now()).inWholeMilliseconds.coerceAtLeast(0)
-            val named = HopHeaders.named(call.request.headers.getAll(HttpHeaders.Connection))
-            val headers = ArrayList<Pair<String, String>>()
-            call.request.headers.forEach { name, values ->
-                if (HopHeaders.passesToUpstream(name, named)) values.forEach { headers += name to it }
-            }
-            headers += Headers.SERVICE to inbound.service.value
-            headers += Headers.CLASS to inbound.workClass.name.value
-            headers += Headers.DEADLINE_MS to remaining.toString()
-            headers += Headers.DEPTH to (inbound.depth + 1).toString()
-            headers += Headers.RETRY to "no"
-            headers += Headers.RANK to inbound.rank
-            headers += Headers.REQUEST_ID to id.value
-            return Outbound(
-                address = dispatch.upstream.address,
-                method = inbound.method,
-                target = inbound.target,
-                host = call.request.headers[HttpHeaders.Host].orEmpty(),
-                headers = headers,
-                body = body,
-                recentOnly = !inbound.call.idempotent,
-                latencyKey = "${inbound.service}/${inbound.workClass.name}",
-                deadline = inbound.call.deadline,
-            )
-        }
+    private suspend fun refuse(call: ApplicationCall, refusal: Refusal, id: RequestId) {
+        metrics.refused(refusal.reason)
+        writer.refuse(call, refusal, id)
     }
 
     private companion object {
--- a/entry/src/main/kotlin/io/poplarwood/entry/http/CallServer.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/http/CallServer.kt
@@ -6,6 +6,11 @@
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.netty.Netty
 import io.ktor.server.netty.NettyApplicationEngine
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelPipeline
+import io.netty.handler.codec.http.HttpServerCodec
 import io.poplarwood.api.id.RequestId
 import io.poplarwood.api.id.ServiceName
 import io.poplarwood.api.time.Ticker
@@ -14,7 +19,14 @@
 import io.poplarwood.entry.metrics.EntryMetrics
 import io.poplarwood.entry.runtime.CallRunner
 import io.poplarwood.entry.settings.HttpSettings
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
 import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * The callers' listener and the path from it to the upstreams.
@@ -23,36 +35,36 @@
  * @param runners takes a service's calls through its decisions; null when there is no such service
  * @param entryName distinguishes the request identifiers of this entry
  * @param connectionLimit connections that this entry may open to an upstream address
+ * @param probeAllowed whether the measuring budget allows a probe of an upstream address now
  */
 class CallServer(
     private val settings: HttpSettings,
     documents: (ServiceName) -> ServiceDocument?,
     runners: (ServiceName) -> CallRunner?,
-    ticker: Ticker,
+    private val ticker: Ticker,
     private val metrics: EntryMetrics = EntryMetrics(),
     private val entryName: String = "entry",
     connectionLimit: (String) -> Int = { settings.upstreamConnections },
+    probeAllowed: (String) -> Boolean = { true },
 ) {
     private val sequence = AtomicLong()
-    private val forwarder = Forwarder(settings, ticker, connectionLimit)
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val connections = CallerConnections(settings.callerConnections, metrics)
+    private val forwarder = Forwarder(settings, ticker, metrics, connectionLimit, probeAllowed)
     private val handler =
         CallHandler(
+            settings = settings,
             reader = RequestReader(settings, documents, ticker),
             runners = runners,
             forwarder = forwarder,
             writer = AnswerWriter(metrics),
             ticker = ticker,
             metrics = metrics,
-            requestIds = { RequestId(entryName + "-" + sequence.incrementAndGet().toString(RADIX)) },
+            requestIds = ::nextId,
         )
+    private val listener = ListenerHandle()
     private val server: EmbeddedServer<NettyApplicationEngine, NettyApplicationEngine.Configuration> =
-        embeddedServer(Netty, configure = {
-            connector {
-                host = settings.host
-                port = settings.port
-            }
-            enableHttp2 = false
-        }) {
+        embeddedServer(Netty, configure = { configure() }) {
             intercept(ApplicationCallPipeline.Call) { handler.handle(context) }
         }
 
@@ -60,19 +72,93 @@
     var port: Int = 0
         private set
 
+    /** Requests that have no final answer yet. */
+    val inFlight: Int get() = handler.inFlight
+
     /** Binds the listener and accepts connections. */
     suspend fun start() {
+        forwarder.start(scope)
         server.startSuspend(wait = false)
         port = server.engine.resolvedConnectors().first().port
     }
 
+    /** Asks [address] for any answer on a fresh connection; true when one came. */
+    suspend fun probe(address: String): Boolean = forwarder.probe(address)
+
+    /**
+     * Ends service without interrupting a request: serves for at least [named], while callers may still be told of this
+     * entry, asking them to close their connections; waits for the last request; then closes the listener and idle
+     * connections. Gives up after [limit].
+     *
+     * @return true when no request was in flight at the end
+     */
+    suspend fun drain(limit: Duration, named: Duration = Duration.ZERO): Boolean {
+        val started = ticker.now()
+        connections.draining = true
+        while (ticker.now() - started < limit) {
+            if (inFlight == 0 && ticker.now() - started >= named) break
+            delay(DRAIN_STEP)
+        }
+        listener.close()
+        while (inFlight > 0 && ticker.now() - started < limit) delay(DRAIN_STEP)
+        connections.closeIdle()
+        return inFlight == 0
+    }
+
     /** Closes the listener and every connection at once. */
     suspend fun stop() {
         server.stopSuspend(0, 0)
+        scope.cancel()
         forwarder.close()
     }
 
+    private fun nextId() = RequestId(entryName + "-" + sequence.incrementAndGet().toString(RADIX))
+
+    private fun NettyApplicationEngine.Configuration.configure() {
+        connector {
+            host = settings.host
+            port = settings.port
+        }
+        enableHttp2 = false
+        responseWriteTimeoutSeconds = 0
+        if (settings.callerThreads > 0) {
+            connectionGroupSize = 1
+            workerGroupSize = settings.callerThreads
+            callGroupSize = settings.callerThreads
+        }
+        httpServerCodec = {
+            HttpServerCodec(settings.maxRequestLineBytes, settings.maxHeaderBytes, MAX_CHUNK_BYTES)
+        }
+        configureBootstrap = { handler(listener) }
+        channelPipelineConfig = { guard(this) }
+    }
+
+    private fun guard(pipeline: ChannelPipeline) {
+        val bytes = ByteWatch()
+        // The engine would invite a body before the request is accepted; CallerConnection.sendContinue does it later.
+        pipeline.remove("continue")
+        pipeline.addBefore("codec", "bytes", bytes)
+        pipeline.addAfter("codec", "guard", ConnectionGuard(settings, connections, bytes, metrics, ::nextId))
+    }
+
+    /** Gets hold of the listening channel, which the engine keeps to itself. */
+    @io.netty.channel.ChannelHandler.Sharable
+    private class ListenerHandle : ChannelInboundHandlerAdapter() {
+        @Volatile
+        private var channel: Channel? = null
+
+        override fun handlerAdded(ctx: ChannelHandlerContext) {
+            channel = ctx.channel()
+        }
+
+        fun close() {
+            channel?.close()?.syncUninterruptibly()
+        }
+    }
+
     private companion object {
         const val RADIX = 36
+        const val MAX_CHUNK_BYTES = 16 * 1024
+        val DRAIN_STEP = 10.milliseconds
     }
 }
--- /dev/null
+++ b/entry/src/main/kotlin/io/poplarwood/entry/http/WholeAnswer.kt
@@ -0,0 +1,12 @@
+package io.poplarwood.entry.http
+
+import io.ktor.http.HttpStatusCode
+import io.ktor.http.content.OutgoingContent
+
+/** An answer whose body is at hand. */
+internal class WholeAnswer(override val status: HttpStatusCode, private val body: ByteArray) :
+    OutgoingContent.ByteArrayContent() {
+    override val contentLength: Long = body.size.toLong()
+
+    override fun bytes(): ByteArray = body
+}
--- a/entry/src/main/kotlin/io/poplarwood/entry/metrics/EntryMetrics.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/metrics/EntryMetrics.kt
@@ -1,7 +1,10 @@
 package io.poplarwood.entry.metrics
 
+import io.poplarwood.api.id.ClassName
+import io.poplarwood.api.id.ServiceName
 import io.poplarwood.api.outcome.RefusalReason
 import io.poplarwood.api.outcome.RetryReason
+import io.poplarwood.decision.routing.AttemptResult
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.Histogram
@@ -38,6 +41,7 @@
             .labelNames("service", "class").classicOnly().classicUpperBounds(*LATENCY_BOUNDS).register(registry)
 
     private val refusalOf = RefusalReason.entries.map { refusals.labelValues(it.wire) }
+    private val attemptOf = AttemptResult.entries.map { attempts.labelValues(it.name.lowercase()) }
     private val retryOf = RetryReason.entries.map { retries.labelValues(it.wire) }
 
     /** Counts an answer that is not the upstream's own. */
@@ -47,7 +51,7 @@
     fun retried(reason: RetryReason) = retryOf[reason.ordinal].inc()
 
     /** Counts an attempt that ended with [result]. */
-    fun attempted(result: String) = attempts.labelValues(result).inc()
+    fun attempted(result: AttemptResult) = attemptOf[result.ordinal].inc()
 
     /** Counts an upstream connection closed because it went silent. */
     fun silentConnection() = silent.inc()
@@ -77,9 +81,9 @@
     fun callerDisconnected() = callers.dec()
 
     /** Counts a request's final [outcome]: `answered` or the wire value of an outcome kind. */
-    fun finished(service: String, workClass: String, outcome: String, took: Duration) {
-        requests.labelValues(service, workClass, outcome).inc()
-        latency.labelValues(service, workClass).observe(took.toDouble(DurationUnit.SECONDS))
+    fun finished(service: ServiceName, workClass: ClassName, outcome: String, took: Duration) {
+        requests.labelValues(service.value, workClass.value, outcome).inc()
+        latency.labelValues(service.value, workClass.value).observe(took.toDouble(DurationUnit.SECONDS))
     }
 
     /** All metrics in the Prometheus text format. */
--- a/entry/src/main/kotlin/io/poplarwood/entry/settings/HttpSettings.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/settings/HttpSettings.kt
@@ -17,6 +17,8 @@
  * @property connectTimeoutMs longest wait for a connection to an upstream
  * @property upstreamIdleMs age at which an idle upstream connection is closed
  * @property upstreamConnections connections to one upstream where membership states no limit
+ * @property probePath path of the request that shows whether a fresh connection to an upstream works
+ * @property probeTimeoutMs longest wait for its answer
  * @property callerThreads threads of the callers' listener; 0 derives them from the processors
  * @property upstreamThreads threads of the upstream connections; 0 derives them from the processors
  * @property tls key and certificate of the callers' listener; null serves plain HTTP
@@ -36,6 +38,8 @@
     val connectTimeoutMs: Long = 1_000,
     val upstreamIdleMs: Long = 30_000,
     val upstreamConnections: Int = 64,
+    val probePath: String = "/health",
+    val probeTimeoutMs: Long = 1_000,
     val callerThreads: Int = 0,
     val upstreamThreads: Int = 0,
     val tls: TlsFiles? = null,
--- /dev/null
+++ b/entry/src/test/kotlin/io/poplarwood/entry/forward/CutAnswerSpec.kt
@@ -0,0 +1,77 @@
+package io.poplarwood.entry.forward
+
+import io.poplarwood.decision.routing.AttemptResult
+import io.poplarwood.entry.support.Path
+import io.poplarwood.entry.support.RawUpstream
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+class CutAnswerSpec {
+    private val get = "GET / HTTP/1.1\r\nHost: counter\r\n\r\n"
+
+    private fun RawUpstream.Connection.cut(head: String, body: String) {
+        head()
+        send(head)
+        send(body)
+        Thread.sleep(50)
+    }
+
+    @Nested
+    inner class `an answer cut by its upstream` {
+        /** Guards against a cut chunked answer that the server engine ends with a final chunk. */
+        @Test
+        fun `has no final chunk when it came in chunks`() {
+            Path(
+                serve = { cut("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nhello\r\n") },
+            ).use { path ->
+                val text = path.caller().use { it.send(get).rest() }
+                assertTrue(text.startsWith("HTTP/1.1 200"), text)
+                assertFalse(text.contains("0\r\n\r\n"), text)
+                assertEquals(AttemptResult.CONNECTION_LOST, path.evidence().single().result)
+            }
+        }
+
+        /** Guards against a large answer with a declared length that is padded, shortened or kept open. */
+        @Test
+        fun `ends short of its length`() {
+            Path(
+                serve = { cut("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n", "x".repeat(100_000)) },
+            ).use { path ->
+                val text = path.caller().use { it.send(get).rest() }
+                assertTrue(text.startsWith("HTTP/1.1 200"), text.take(200))
+                assertTrue(text.substringAfter("\r\n\r\n").length <= 100_000)
+                assertEquals(AttemptResult.CONNECTION_LOST, path.evidence().single().result)
+            }
+        }
+
+        /** Guards against giving up on a small answer that nobody has seen yet, or passing its stump on. */
+        @Test
+        fun `is retried while nothing of it reached the caller`() {
+            var served = 0
+            Path(attempts = 2, serve = {
+                if (served++ == 0) {
+                    cut("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n", "hello")
+                } else {
+                    head()
+                    send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
+                }
+            }).use { path -> assertEquals("whole", path.caller().use { it.send(get).answer() }.body) }
+        }
+
+        /** Guards against a second answer behind the stump of the first. */
+        @Test
+        fun `is not retried after its head reached the caller`() {
+            Path(attempts = 3, serve = {
+                cut("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nhello\r\n")
+            })
+                .use { path ->
+                    val text = path.caller().use { it.send(get).rest() }
+                    assertEquals(1, Regex("HTTP/1.1 ").findAll(text).count())
+                    assertEquals(1, path.upstream.heads.size)
+                }
+        }
+    }
+}
--- a/entry/src/test/kotlin/io/poplarwood/entry/http/CallServerSpec.kt
+++ b/entry/src/test/kotlin/io/poplarwood/entry/http/CallServerSpec.kt
@@ -36,8 +36,8 @@
                     assertTrue(head.lines().any { it.startsWith("Poplarwood-Deadline-Ms: ") })
                     assertFalse(head.contains("Poplarwood-Exchange"))
                     assertContains(head, "User-Agent: poplarwood\r\n")
-                    assertEquals(2, path.runner.evidence.single().reportedInFlight)
-                    assertEquals(3, path.runner.evidence.single().reportedSlots)
+                    assertEquals(2, path.evidence().single().reportedInFlight)
+                    assertEquals(3, path.evidence().single().reportedSlots)
                 }
         }
 
--- /dev/null
+++ b/entry/src/test/kotlin/io/poplarwood/entry/http/ExchangeFormsSpec.kt
@@ -0,0 +1,199 @@
+package io.poplarwood.entry.http
+
+import io.poplarwood.decision.routing.AttemptResult
+import io.poplarwood.entry.support.Path
+import io.poplarwood.entry.support.RawCaller
+import io.poplarwood.entry.support.awaiting
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+class ExchangeFormsSpec {
+    @Nested
+    inner class `an answer without a body` {
+        /** Guards against a body that is awaited or invented, which shifts every later answer on the connection. */
+        @Test
+        fun `leaves its connections usable`() {
+            val heads =
+                mapOf(
+                    "HEAD /h" to "HTTP/1.1 200 OK\r\nContent-Length: 500\r\nETag: a\r\n\r\n",
+                    "GET /n" to "HTTP/1.1 204 No Content\r\nETag: a\r\n\r\n",
+                    "GET /m" to "HTTP/1.1 304 Not Modified\r\nContent-Length: 500\r\nETag: a\r\n\r\n",
+                    "GET /i" to
+                        "HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\nETag: a\r\n\r\n",
+                )
+            Path(serve = {
+                while (true) {
+                    val head = head() ?: break
+                    send(heads.getValue(head.substringBefore(" HTTP")))
+                }
+            }).use { path ->
+                path.caller().use { caller ->
+                    (heads.toList() + heads.toList()).forEach { (request, answer) -> exchange(caller, request, answer) }
+                }
+                assertEquals(8, path.upstream.heads.size)
+            }
+        }
+
+        private fun exchange(caller: RawCaller, request: String, answer: String) {
+            val got = caller.send("$request HTTP/1.1\r\nHost: counter\r\n\r\n").answer { 0 }
+            assertEquals(answer.substringAfterLast("HTTP/1.1 ").take(3).toInt(), got.status, request)
+            assertEquals("a", got.header("ETag"))
+            if (request.startsWith("HEAD")) assertEquals("500", got.header("Content-Length"))
+            if (request == "GET /n") assertEquals(null, got.header("Content-Length"))
+        }
+    }
+
+    @Nested
+    inner class `hop-by-hop headers` {
+        /** Guards against headers of one connection that change another, and against forged typed answers. */
+        @Test
+        fun `stay on their hop`() {
+            Path(serve = {
+                answering(
+                    "HTTP/1.1 200 OK\r\nConnection: keep-alive, X-Mine\r\nX-Mine: 1\r\nKeep-Alive: timeout=5\r\n" +
+                        "Poplarwood-Outcome: not-run\r\nX-Kept: 1\r\nContent-Length: 0\r\n\r\n",
+                )
+            }).use { path ->
+                val request =
+                    "GET / HTTP/1.1\r\nHost: counter\r\nConnection: X-Hop\r\nX-Hop: 1\r\nTE: trailers\r\n" +
+                        "Upgrade: h2c\r\n" +
+                        "Poplarwood-Exchange: 99\r\nPoplarwood-Depth: 3\r\nX-Kept: 1\r\n\r\n"
+                val answer = path.caller().use { it.send(request).answer() }
+                assertEquals(null, answer.header("X-Mine"))
+                assertEquals(null, answer.header("Keep-Alive"))
+                assertEquals(null, answer.header("Poplarwood-Outcome"))
+                assertEquals("1", answer.header("X-Kept"))
+                val head = path.upstream.heads.single()
+                for (name in listOf(
+                    "X-Hop:",
+                    "TE:",
+                    "Upgrade:",
+                    "Poplarwood-Exchange",
+                )) {
+                    assertFalse(head.contains(name), head)
+                }
+                assertTrue(head.contains("Poplarwood-Depth: 4\r\n"), head)
+                assertTrue(head.contains("X-Kept: 1"), head)
+            }
+        }
+    }
+
+    @Nested
+    inner class `an upload` {
+        /** Guards against an early answer that waits for, or is lost with, an upload nobody reads any more. */
+        @Test
+        fun `gets an answer that comes before its end`() {
+            Path(serve = {
+                head()
+                send("HTTP/1.1 403 No\r\nContent-Length: 2\r\n\r\nno")
+                Thread.sleep(1000)
+            }).use { path ->
+                val caller = path.caller()
+                caller.send("POST /up HTTP/1.1\r\nHost: counter\r\nContent-Length: 300000\r\n\r\n" + "x".repeat(1000))
+                val answer = caller.answer()
+                assertEquals(403, answer.status)
+                assertEquals("close", answer.header("Connection")?.lowercase())
+                assertEquals("", caller.rest())
+                awaiting("close of the abandoned connection") { path.upstream.connections.single().socket.isClosed }
+            }
+        }
+
+        /** Guards against a body that is invited although the request is refused, or never invited at all. */
+        @Test
+        fun `is invited by 100 only when it is wanted`() {
+            Path(serve = {
+                head()
+                skip(100_000)
+                send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            }).use { path ->
+                path.caller().use { caller ->
+                    caller.send(
+                        "POST /up HTTP/1.1\r\nHost: counter\r\nExpect: 100-continue\r\nContent-Length: 100000\r\n\r\n",
+                    )
+                    assertEquals(100, caller.answer { 0 }.status)
+                    assertEquals(200, caller.send("x".repeat(100_000)).answer().status)
+                }
+                path.caller().use { caller ->
+                    caller.send(
+                        "POST /small HTTP/1.1\r\nHost: counter\r\nExpect: 100-continue\r\n" +
+                            "Content-Length: 100000\r\n\r\n",
+                    )
+                    assertEquals(413, caller.answer().status)
+                }
+            }
+        }
+
+        /** Guards against a body of unstated length that passes its class's limit. */
+        @Test
+        fun `over its class's limit is refused or cut`() {
+            Path(serve = { drain() }).use { path ->
+                val chunk = "400\r\n" + "x".repeat(1024) + "\r\n"
+                val text =
+                    path.caller().use {
+                        it.send(
+                            "POST /small HTTP/1.1\r\nHost: counter\r\nTransfer-Encoding: chunked\r\n\r\n$chunk",
+                        ).answer()
+                    }
+                assertEquals("unknown", text.header("Poplarwood-Outcome"))
+                assertTrue(path.metrics.exposition().decodeToString().contains("{reason=\"body-too-large\"} 1.0"))
+                awaiting("close of the upload's connection") { path.upstream.connections.all { it.socket.isClosed } }
+                assertFalse(path.upstream.connections.any { it.text().contains("\r\n0\r\n") })
+            }
+        }
+    }
+
+    @Nested
+    inner class `a caller that disconnects` {
+        /** Guards against an upstream that works on for a caller who is gone, and a connection with a stale answer. */
+        @Test
+        fun `closes the upstream's connection`() {
+            for (request in listOf(
+                "GET /slow HTTP/1.1\r\nHost: counter\r\n\r\n",
+                "POST /slow HTTP/1.1\r\nHost: counter\r\nContent-Length: 1\r\n\r\nx",
+            )) {
+                Path(serve = { drain() }).use { path ->
+                    val caller = path.caller().send(request)
+                    awaiting("request at the upstream") {
+                        path.upstream.connections.any { it.text().contains("\r\n\r\n") }
+                    }
+                    caller.close()
+                    awaiting("close of the upstream's connection") {
+                        path.upstream.connections.single().socket.isClosed
+                    }
+                    awaiting("end of the request") { path.server.inFlight == 0 }
+                }
+            }
+        }
+
+        /** Guards against an answer that arrives late and goes to the next request on a reused connection. */
+        @Test
+        fun `leaves no answer for anyone else`() {
+            Path(serve = {
+                while (true) {
+                    val head = head() ?: break
+                    if (head.contains("/slow")) Thread.sleep(300)
+                    val body = head.substringAfter("GET /").substringBefore(' ')
+                    send("HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n$body")
+                }
+            }).use { path ->
+                repeat(5) {
+                    val gone = path.caller().send("GET /slow$it HTTP/1.1\r\nHost: counter\r\n\r\n")
+                    awaiting("request at the upstream") {
+                        path.upstream.heads.any { head ->
+                            head.contains("/slow$it")
+                        }
+                    }
+                    gone.close()
+                    val answer = path.caller().use { c ->
+                        c.send("GET /fast$it HTTP/1.1\r\nHost: counter\r\n\r\n").answer()
+                    }
+                    assertEquals("fast$it", answer.body)
+                }
+                assertFalse(path.runner.evidence.any { it.result == AttemptResult.CONNECTION_LOST })
+            }
+        }
+    }
+}
--- a/entry/src/test/kotlin/io/poplarwood/entry/support/Path.kt
+++ b/entry/src/test/kotlin/io/poplarwood/entry/support/Path.kt
@@ -8,6 +8,7 @@
 import io.poplarwood.api.work.Rank
 import io.poplarwood.api.work.ServiceDocument
 import io.poplarwood.api.work.Target
+import io.poplarwood.decision.routing.AttemptEvidence
 import io.poplarwood.entry.http.CallServer
 import io.poplarwood.entry.metrics.EntryMetrics
 import io.poplarwood.entry.runtime.CallRunner
@@ -40,6 +41,12 @@
         runBlocking { server.start() }
     }
 
+    /** Evidence of the attempts, once there are [count]; the runner gets it after the caller got its answer. */
+    fun evidence(count: Int = 1): List<AttemptEvidence> {
+        awaiting("$count attempts") { runner.evidence.size >= count }
+        return runner.evidence
+    }
+
     fun caller(timeoutMs: Int = 10_000) = RawCaller(server.port, timeoutMs)
 
     override fun close() {
@@ -74,3 +81,12 @@
             )
     }
 }
+
+/** Waits until [condition] holds, at most five seconds. */
+internal fun awaiting(what: String, condition: () -> Boolean) {
+    val end = System.nanoTime() + 5_000_000_000
+    while (!condition()) {
+        check(System.nanoTime() < end) { "no $what within 5 s" }
+        Thread.sleep(5)
+    }
+}
