--- a/bench/src/main/kotlin/io/poplarwood/bench/Benches.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/Benches.kt
@@ -2,11 +2,13 @@
 
 import io.poplarwood.bench.api.Bench
 import io.poplarwood.bench.deep.DeepBench
+import io.poplarwood.bench.routing.RoutingBench
 
 /** All measurements in the order of `bench --list`. */
 object Benches {
     /** One of each. */
     val all: List<Bench> = listOf(
         DeepBench(),
+        RoutingBench,
     )
 }
