Add the settings of an entry, their check and the operators' interface

Cause: an entry starts from a file that operators write by hand, and operators change a running cell over HTTP.

--- /dev/null
+++ b/entry/src/main/kotlin/io/poplarwood/entry/operator/ExplainStep.kt
@@ -0,0 +1,12 @@
+package io.poplarwood.entry.operator
+
+import kotlinx.serialization.Serializable
+
+/** One decision about a request, [afterMs] after its arrival. */
+@Serializable
+data class ExplainStep(
+    val afterMs: Double,
+    val decision: String,
+    val upstream: String? = null,
+    val reason: String? = null,
+)
--- /dev/null
+++ b/entry/src/main/kotlin/io/poplarwood/entry/operator/OperatorClient.kt
@@ -0,0 +1,159 @@
+package io.poplarwood.entry.operator
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getError
+import com.github.michaelbull.result.getOrElse
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.apache5.Apache5
+import io.ktor.client.network.sockets.ConnectTimeoutException
+import io.ktor.client.plugins.HttpTimeout
+import io.ktor.client.request.HttpRequestBuilder
+import io.ktor.client.request.header
+import io.ktor.client.request.parameter
+import io.ktor.client.request.request
+import io.ktor.client.request.setBody
+import io.ktor.client.request.url
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpMethod
+import io.poplarwood.api.id.ServiceName
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import java.io.IOException
+import java.net.ConnectException
+import java.nio.channels.UnresolvedAddressException
+
+/**
+ * Client of the operators' interface. It asks [entries] (`host:port`) in turn until one answers; a change is passed on
+ * to the next entry only when no connection was made.
+ */
+class OperatorClient(
+    private val entries: List<String>,
+    private val token: String,
+    private val scheme: String = "http",
+) :
+    AutoCloseable {
+    private val client = HttpClient(Apache5) {
+        expectSuccess = false
+        followRedirects = false
+        engine { customizeClient { disableAutomaticRetries() } }
+        install(HttpTimeout) {
+            connectTimeoutMillis = CONNECT_MS
+            requestTimeoutMillis = ANSWER_MS
+            socketTimeoutMillis = ANSWER_MS
+        }
+    }
+
+    /** The documents in force. */
+    suspend fun classes(): Result<List<ServiceClasses>, OperatorFailure> = get("/v1/classes")
+
+    /** Changes a document; [text] is JSON with comments. */
+    suspend fun change(
+        service: ServiceName,
+        text: String,
+        expectVersion: Long,
+        wait: Boolean,
+    ): Result<ChangeOutcome, OperatorFailure> =
+        ask(HttpMethod.Put, "/v1/classes/$service", OUTCOMES) {
+            parameter("expectVersion", expectVersion)
+            if (wait) parameter("wait", true)
+            setBody(text)
+        }
+
+    /** The last changes, newest first. */
+    suspend fun history(): Result<List<HistoryRow>, OperatorFailure> = get("/v1/classes/history")
+
+    /** What the first entry that answers knows about its cell. */
+    suspend fun status(): Result<StatusReport, OperatorFailure> = get("/v1/status")
+
+    /** The record of a request. Only the entry that decided has it, so a 404 goes on to the next entry. */
+    suspend fun explain(request: String): Result<ExplainReport, OperatorFailure> {
+        var last: Result<ExplainReport, OperatorFailure> = Err(OperatorFailure.Unreachable(entries))
+        for (entry in entries) {
+            val answer = decode<ExplainReport>(listOf(entry), HttpMethod.Get, "/v1/explain/$request") {}
+            if (answer.isOk) return answer
+            if (answer.getError() is OperatorFailure.Refused) last = answer
+        }
+        return last
+    }
+
+    /** Pauses or resumes automation. */
+    suspend fun automation(paused: Boolean): Result<AutomationState, OperatorFailure> =
+        ask(HttpMethod.Post, if (paused) "/v1/automation/pause" else "/v1/automation/resume") {}
+
+    override fun close(): Unit = client.close()
+
+    private suspend inline fun <reified T> get(path: String): Result<T, OperatorFailure> = ask(HttpMethod.Get, path) {}
+
+    private suspend inline fun <reified T> ask(
+        method: HttpMethod,
+        path: String,
+        accepted: Set<Int> = emptySet(),
+        noinline prepare: HttpRequestBuilder.() -> Unit,
+    ): Result<T, OperatorFailure> = decode(entries, method, path, accepted, prepare)
+
+    private suspend inline fun <reified T> decode(
+        from: List<String>,
+        method: HttpMethod,
+        path: String,
+        accepted: Set<Int> = emptySet(),
+        noinline prepare: HttpRequestBuilder.() -> Unit,
+    ): Result<T, OperatorFailure> {
+        val (entry, status, text) = send(from, method, path, prepare).getOrElse { return Err(it) }
+        return try {
+            if (status in SUCCESS ||
+                status in accepted
+            ) {
+                Ok(Json.decodeFromString<T>(text))
+            } else {
+                Err(refused(entry, status, text))
+            }
+        } catch (_: SerializationException) {
+            Err(OperatorFailure.Refused(entry, status, "the answer is not what this version expects"))
+        }
+    }
+
+    private suspend fun send(
+        from: List<String>,
+        method: HttpMethod,
+        path: String,
+        prepare: HttpRequestBuilder.() -> Unit,
+    ): Result<Answer, OperatorFailure> {
+        for (entry in from) {
+            try {
+                val response = client.request {
+                    this.method = method
+                    url("$scheme://$entry$path")
+                    header(HttpHeaders.Authorization, "Bearer $token")
+                    prepare()
+                }
+                return Ok(Answer(entry, response.status.value, response.bodyAsText()))
+            } catch (_: ConnectException) {
+                continue
+            } catch (_: ConnectTimeoutException) {
+                continue
+            } catch (_: UnresolvedAddressException) {
+                continue
+            } catch (_: IOException) {
+                if (method != HttpMethod.Get) return Err(OperatorFailure.AnswerLost(entry))
+            }
+        }
+        return Err(OperatorFailure.Unreachable(from))
+    }
+
+    private fun refused(entry: String, status: Int, text: String): OperatorFailure {
+        val error = runCatching { Json.decodeFromString<OperatorError>(text).error }.getOrDefault("status $status")
+        return OperatorFailure.Refused(entry, status, error)
+    }
+
+    private data class Answer(val entry: String, val status: Int, val text: String)
+
+    private companion object {
+        const val CONNECT_MS = 2_000L
+        const val ANSWER_MS = 30_000L
+        val SUCCESS = 200..299
+        val OUTCOMES = setOf(409, 422, 503, 504)
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/poplarwood/entry/operator/OperatorServer.kt
@@ -0,0 +1,86 @@
+package io.poplarwood.entry.operator
+
+import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.Application
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.application.ApplicationCallPipeline
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.connector
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.netty.Netty
+import io.ktor.server.netty.NettyApplicationEngine
+import io.ktor.server.request.path
+import io.ktor.server.response.header
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.routing
+import io.ktor.util.AttributeKey
+import io.poplarwood.entry.settings.OperatorListener
+import kotlinx.serialization.json.Json
+import org.slf4j.LoggerFactory
+import java.nio.file.Path
+
+/** The operators' listener: bearer token on everything but `GET /ready`, TLS where the settings have it. */
+class OperatorServer(private val settings: OperatorListener, private val backend: OperatorBackend) {
+    private val log = LoggerFactory.getLogger(OperatorServer::class.java)
+    private val tokens = Tokens(Path.of(settings.tokenFile))
+    private val tls = settings.tls?.let { files ->
+        ReloadingTls(files) {
+            log.warn("PW-6001 operators' TLS files cannot be read, the earlier ones stay: {}", it.message)
+        }
+    }
+    private val server: EmbeddedServer<NettyApplicationEngine, NettyApplicationEngine.Configuration> =
+        embeddedServer(Netty, configure = { configure() }) { serve() }
+
+    /** Port that the listener is bound to, after [start]. */
+    var port: Int = 0
+        private set
+
+    /** Binds the listener. */
+    suspend fun start() {
+        server.startSuspend(wait = false)
+        port = server.engine.resolvedConnectors().first().port
+    }
+
+    /** Closes the listener and its connections. */
+    suspend fun stop() {
+        server.stopSuspend(0, STOP_MS)
+    }
+
+    private fun NettyApplicationEngine.Configuration.configure() {
+        connector {
+            host = settings.address.substringBeforeLast(':')
+            port = settings.address.substringAfterLast(':').toInt()
+        }
+        enableHttp2 = false
+        connectionGroupSize = 1
+        workerGroupSize = 1
+        callGroupSize = 2
+        channelPipelineConfig = { tls?.secure(channel()) }
+    }
+
+    private fun Application.serve() {
+        intercept(ApplicationCallPipeline.Plugins) {
+            if (context.request.path() == READY) return@intercept
+            val who = tokens.operator(context.request.headers[HttpHeaders.Authorization])
+            if (who == null) {
+                context.response.header(HttpHeaders.WWWAuthenticate, "Bearer")
+                context.answer(OperatorError("a bearer token is required"), HttpStatusCode.Unauthorized)
+                finish()
+            } else {
+                context.attributes.put(WHO, who)
+            }
+        }
+        routing { operatorRoutes(backend) }
+    }
+
+    internal companion object {
+        const val READY = "/ready"
+        val WHO = AttributeKey<String>("operator")
+        private const val STOP_MS = 500L
+    }
+}
+
+internal suspend inline fun <reified T> ApplicationCall.answer(body: T, status: HttpStatusCode = HttpStatusCode.OK) =
+    respondText(Json.encodeToString(body), ContentType.Application.Json, status)
--- /dev/null
+++ b/entry/src/main/kotlin/io/poplarwood/entry/operator/Reloaded.kt
@@ -0,0 +1,41 @@
+package io.poplarwood.entry.operator
+
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+
+/**
+ * A value made from files and made again when one of them changes.
+ *
+ * A change that cannot be read, such as a file half written, leaves the earlier value in force.
+ */
+internal class Reloaded<T : Any>(
+    private val files: List<Path>,
+    private val onFailure: (Exception) -> Unit = {},
+    private val load: () -> T,
+) {
+    private var stamp = stamp()
+    private var value = load()
+
+    /** The value for the files as they are now. */
+    @Synchronized
+    fun get(): T {
+        val now = stamp()
+        if (now == stamp) return value
+        try {
+            value = load()
+            stamp = now
+        } catch (e: Exception) {
+            onFailure(e)
+        }
+        return value
+    }
+
+    private fun stamp(): List<Any?> = files.flatMap {
+        try {
+            listOf(Files.getLastModifiedTime(it), Files.size(it))
+        } catch (_: IOException) {
+            listOf(null)
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/poplarwood/entry/settings/EntrySettings.kt
@@ -0,0 +1,30 @@
+package io.poplarwood.entry.settings
+
+import io.poplarwood.api.id.EntryId
+import io.poplarwood.api.id.Zone
+import io.poplarwood.platform.http.PlatformSettings
+import kotlinx.serialization.Serializable
+
+/**
+ * Settings of one entry process.
+ *
+ * @property cell name of the cell; entries of another cell are strangers
+ * @property callersAdvertised `host:port` at which callers reach [callers]
+ * @property maxEntries most entries that the cell will ever have at once; the shares of the budgets come from it
+ * @property probesPerSecond probes and report reads a second that the whole cell may place on upstreams
+ * @property drainBoundMs longest time a planned stop waits for requests in flight
+ */
+@Serializable
+data class EntrySettings(
+    val entry: EntryId,
+    val cell: String,
+    val zone: Zone,
+    val callers: HttpSettings,
+    val callersAdvertised: String,
+    val operators: OperatorListener,
+    val peers: PeerListener,
+    val platform: PlatformSettings,
+    val maxEntries: Int = 64,
+    val probesPerSecond: Double = 50.0,
+    val drainBoundMs: Long = 60_000,
+)
--- /dev/null
+++ b/entry/src/main/kotlin/io/poplarwood/entry/settings/SettingsReader.kt
@@ -0,0 +1,74 @@
+package io.poplarwood.entry.settings
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.map
+import io.poplarwood.api.work.ServiceDocument
+import io.poplarwood.fleet.config.DocumentCheck
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.JsonElement
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** Reads what operators write and finds all faults at once. Files named in settings are relative to the settings. */
+object SettingsReader {
+    /** The settings in [file], with absolute paths of the files that they name. */
+    fun settings(file: Path): Result<EntrySettings, List<SettingsFault>> {
+        val directory = file.toAbsolutePath().parent
+        return read(file, EntrySettings.serializer(), rules = { ValueRules(it, directory).faults() }) { emptyList() }
+            .map { resolve(it, directory) }
+    }
+
+    /** The service document in [file]. */
+    fun document(file: Path): Result<ServiceDocument, List<SettingsFault>> =
+        read(file, ServiceDocument.serializer(), rules = { emptyList() }) { document ->
+            DocumentCheck.faults(document).map { SettingsFault(it.path, it.found, it.allowed) }
+        }
+
+    private fun <T> read(
+        file: Path,
+        shape: KSerializer<T>,
+        rules: (JsonElement) -> List<SettingsFault>,
+        check: (T) -> List<SettingsFault>,
+    ): Result<T, List<SettingsFault>> {
+        val text =
+            text(file) ?: return Err(listOf(SettingsFault("$", "$file, which cannot be read", "a readable file")))
+        return try {
+            val element = CommentedJson.parseToJsonElement(text)
+            val faults = DuplicateKeys(text).find() + ShapeCheck.faults(element, shape.descriptor) + rules(element)
+            if (faults.isNotEmpty()) return Err(faults.distinctBy { it.path })
+            val value = CommentedJson.decodeFromJsonElement(shape, element)
+            val unfit = check(value)
+            if (unfit.isEmpty()) Ok(value) else Err(unfit)
+        } catch (e: SerializationException) {
+            Err(listOf(SettingsFault("$", e.message.orEmpty().lineSequence().first(), "JSON with comments")))
+        }
+    }
+
+    private fun text(file: Path): String? =
+        try {
+            Files.readString(file)
+        } catch (_: IOException) {
+            null
+        }
+
+    private fun resolve(settings: EntrySettings, directory: Path): EntrySettings {
+        fun absolute(name: String) = directory.resolve(name).toString()
+
+        fun absolute(tls: TlsFiles?) = tls?.let { TlsFiles(absolute(it.key), absolute(it.certificate)) }
+        return settings.copy(
+            callers = settings.callers.copy(tls = absolute(settings.callers.tls)),
+            operators = settings.operators.copy(
+                tokenFile = absolute(settings.operators.tokenFile),
+                tls = absolute(settings.operators.tls),
+            ),
+            peers = settings.peers.copy(
+                secretFile = absolute(settings.peers.secretFile),
+                tls = absolute(settings.peers.tls),
+            ),
+        )
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/poplarwood/entry/settings/ValueRules.kt
@@ -0,0 +1,114 @@
+package io.poplarwood.entry.settings
+
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.doubleOrNull
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** Ranges, addresses and files of [EntrySettings]. Values of the wrong type are left to [ShapeCheck]. */
+internal class ValueRules(private val root: JsonElement, private val directory: Path) {
+    fun faults(): List<SettingsFault> =
+        RANGES.flatMap { (path, range) -> range(path, range) } +
+            NAMES.flatMap { name(it) } +
+            ADDRESSES.flatMap { address(it) } +
+            FILES.flatMap { file(it) }
+
+    private fun range(path: String, range: ClosedRange<Double>): List<SettingsFault> = values(
+        path,
+    ).mapNotNull { (at, v) ->
+        val number = if (v.isString) null else v.doubleOrNull
+        if (number == null || number in range) return@mapNotNull null
+        SettingsFault(at, v.content, "${plain(range.start)} to ${plain(range.endInclusive)}")
+    }
+
+    private fun name(path: String): List<SettingsFault> = values(path).mapNotNull { (at, v) ->
+        if (!v.isString || NAME.matches(v.content)) return@mapNotNull null
+        SettingsFault(at, ShapeCheck.shown(v), "letters, digits and hyphens, at most 63")
+    }
+
+    private fun address(path: String): List<SettingsFault> = values(path).mapNotNull { (at, v) ->
+        if (!v.isString || isAddress(v.content)) return@mapNotNull null
+        SettingsFault(at, ShapeCheck.shown(v), "host:port with a port from 1 to 65535")
+    }
+
+    private fun file(path: String): List<SettingsFault> = values(path).mapNotNull { (at, v) ->
+        val problem = if (v.isString) problem(v.content) else null
+        problem?.let { SettingsFault(at, "${ShapeCheck.shown(v)}, $it", "a readable file that is not empty") }
+    }
+
+    private fun problem(name: String): String? {
+        val file = runCatching { directory.resolve(name) }.getOrNull()
+        return when {
+            file == null -> "which is no file name"
+            !Files.exists(file) -> "which does not exist"
+            !Files.isRegularFile(file) || !Files.isReadable(file) -> "which cannot be read"
+            else -> try {
+                if (Files.readString(file).isBlank()) "which is empty" else null
+            } catch (_: IOException) {
+                "which cannot be read"
+            }
+        }
+    }
+
+    private fun values(path: String): List<Pair<String, JsonPrimitive>> {
+        var found: List<Pair<String, JsonElement>> = listOf("$" to root)
+        for (key in path.split('.')) {
+            found = found.mapNotNull { (at, e) -> (e as? JsonObject)?.get(key)?.let { "$at.$key" to it } }
+        }
+        return found.flatMap { (at, e) ->
+            if (e is JsonArray) e.mapIndexed { i, item -> "$at[$i]" to item } else listOf(at to e)
+        }.mapNotNull { (at, e) -> (e as? JsonPrimitive)?.let { at to it } }
+    }
+
+    private fun isAddress(text: String): Boolean {
+        val port = text.substringAfterLast(':', "").toIntOrNull() ?: return false
+        val host = text.substringBeforeLast(':')
+        return port in 1..MAX_PORT && HOST.matches(host)
+    }
+
+    private fun plain(value: Double) = if (value % 1 == 0.0) value.toLong().toString() else value.toString()
+
+    private companion object {
+        const val MAX_PORT = 65_535
+        val NAME = Regex("[A-Za-z0-9][A-Za-z0-9-]{0,62}")
+        val HOST = Regex("""[A-Za-z0-9]([A-Za-z0-9.-]*[A-Za-z0-9])?|\[[0-9A-Fa-f:.]+]""")
+        val NAMES = listOf("entry", "cell", "zone")
+        val ADDRESSES = listOf(
+            "callersAdvertised",
+            "operators.address",
+            "peers.address",
+            "peers.advertised",
+            "peers.seeds",
+            "platform.table",
+            "platform.objects",
+            "platform.vms",
+        )
+        val FILES = listOf("operators.tokenFile", "peers.secretFile") +
+            listOf("callers", "operators", "peers").flatMap { listOf("$it.tls.key", "$it.tls.certificate") }
+        val RANGES = listOf(
+            "maxEntries" to 1.0..1_000.0,
+            "probesPerSecond" to 0.0..10_000.0,
+            "drainBoundMs" to 0.0..86_400_000.0,
+            "platform.connectTimeoutMs" to 1.0..60_000.0,
+            "platform.answerTimeoutMs" to 1.0..60_000.0,
+            "callers.port" to 0.0..65_535.0,
+            "callers.maxRequestLineBytes" to 256.0..1_048_576.0,
+            "callers.maxHeaderBytes" to 1_024.0..1_048_576.0,
+            "callers.maxHeaderCount" to 8.0..10_000.0,
+            "callers.callerIdleMs" to 100.0..3_600_000.0,
+            "callers.bodyStallMs" to 100.0..3_600_000.0,
+            "callers.minBodyBytesPerSecond" to 0.0..1_073_741_824.0,
+            "callers.callerConnections" to 1.0..1_000_000.0,
+            "callers.keptBodyBytes" to 0.0..16_777_216.0,
+            "callers.connectTimeoutMs" to 1.0..60_000.0,
+            "callers.upstreamIdleMs" to 100.0..3_600_000.0,
+            "callers.upstreamConnections" to 1.0..100_000.0,
+            "callers.callerThreads" to 0.0..256.0,
+            "callers.upstreamThreads" to 0.0..256.0,
+        )
+    }
+}
