--- /dev/null
+++ b/bench/src/main/kotlin/io/poplarwood/bench/flood/FloodRouterFactory.kt
@@ -0,0 +1,41 @@
+package io.poplarwood.bench.flood
+
+import io.poplarwood.api.id.EntryRef
+import io.poplarwood.api.id.Zone
+import io.poplarwood.api.random.Randomness
+import io.poplarwood.bench.virtual.EventLoop
+import io.poplarwood.decision.routing.Router
+import io.poplarwood.decision.routing.SlotMessage
+import io.poplarwood.decision.routing.UpstreamView
+
+/** Builds the routers of the entries of one [FloodCell]. */
+fun interface FloodRouterFactory {
+    /** The router of the entry in [site]. */
+    fun create(site: Site): Router
+
+    /**
+     * What the router of one entry is built from.
+     *
+     * @property wake makes the entry give out slots
+     * @property send sends a message to a peer
+     */
+    class Site(
+        val self: EntryRef,
+        val zone: Zone,
+        val upstreams: List<UpstreamView>,
+        val loop: EventLoop,
+        val random: Randomness,
+        val wake: () -> Unit,
+        val send: (EntryRef, SlotMessage) -> Unit,
+    )
+
+    companion object {
+        /** Routers that see the load of all entries at once. */
+        fun pooled(): FloodRouterFactory {
+            var pool: PooledSlots? = null
+            return FloodRouterFactory { site ->
+                PooledRouter(pool ?: PooledSlots(site.loop, site.upstreams).also { pool = it }, site.wake)
+            }
+        }
+    }
+}
--- a/bench/src/main/kotlin/io/poplarwood/bench/virtual/FakeNetwork.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/virtual/FakeNetwork.kt
@@ -24,16 +24,19 @@
     /** One-way delay from [from] to [to]. */
     fun oneWay(from: Zone, to: Zone): Duration = if (from == to) withinZone else betweenZones
 
+    /** Reading of the clock. */
+    fun now(): Duration = loop.now()
+
     /** The upstream called [id]. */
     fun upstream(id: UpstreamId): FakeUpstream = byId.getValue(id)
 
-    /** Sends a request from [from] to [to] and calls [done] at the sender's side when the response arrives. */
-    fun request(from: Zone, to: UpstreamId, done: (AttemptEvidence) -> Unit) {
+    /** Sends a request of [size] from [from] to [to]; calls [done] at the sender's side when the response arrives. */
+    fun request(from: Zone, to: UpstreamId, size: Double = 1.0, done: (AttemptEvidence) -> Unit) {
         val sent = loop.now()
         val target = byId[to] ?: return done(AttemptEvidence(AttemptResult.CONNECT_FAILED, ZERO))
         val delay = oneWay(from, target.view.zone)
         loop.after(delay) {
-            target.arrive { result ->
+            target.arrive(size) { result ->
                 val load = target.inFlight
                 loop.after(delay) { done(AttemptEvidence(result, loop.now() - sent, load, target.view.slots)) }
             }
--- a/bench/src/main/kotlin/io/poplarwood/bench/virtual/FakeUpstream.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/virtual/FakeUpstream.kt
@@ -40,27 +40,30 @@
     /** Requests in service and, with [WhenFull.QUEUE], waiting. */
     val inFlight: Int get() = running + waiting.size
 
-    private val waiting = ArrayDeque<(AttemptResult) -> Unit>()
+    private val waiting = ArrayDeque<Pair<Double, (AttemptResult) -> Unit>>()
     private var shedDebt = ZERO
 
-    /** Takes a request that arrives now and calls [done] at the upstream's side once its response leaves. */
-    fun arrive(done: (AttemptResult) -> Unit) {
+    /**
+     * Takes a request that arrives now and calls [done] at the upstream's side once its response leaves. Its service
+     * time is multiplied by [size].
+     */
+    fun arrive(size: Double = 1.0, done: (AttemptResult) -> Unit) {
         when {
             draining -> done(AttemptResult.DRAINING)
             failFast -> done(AttemptResult.SERVER_ERROR)
-            running < view.slots -> start(done)
-            whenFull == WhenFull.QUEUE -> waiting.addLast(done)
+            running < view.slots -> start(size, done)
+            whenFull == WhenFull.QUEUE -> waiting.addLast(size to done)
             else -> shed(done)
         }
     }
 
-    private fun start(done: (AttemptResult) -> Unit) {
+    private fun start(size: Double, done: (AttemptResult) -> Unit) {
         running++
-        val work = times.next(random) * slowdown + shedDebt
+        val work = times.next(random) * (slowdown * size) + shedDebt
         shedDebt = ZERO
         loop.after(work) {
             running--
-            waiting.removeFirstOrNull()?.let(::start)
+            waiting.removeFirstOrNull()?.let { start(it.first, it.second) }
             done(AttemptResult.ANSWERED)
         }
     }
--- a/decision/src/main/kotlin/io/poplarwood/decision/admission/SlotAccount.kt
+++ b/decision/src/main/kotlin/io/poplarwood/decision/admission/SlotAccount.kt
@@ -52,7 +52,8 @@
         for (q in queues) {
             q.load += weight * (q.inUse - q.load)
             q.drain.advance(span)
-            q.credit = bounded(q, q.credit + (q.spec.target.keepShare ?: 0.0) * inUse * seconds)
+            // An entry that holds no slot yet must be owed some, or its classes would never come before others' ranks.
+            q.credit = bounded(q, q.credit + (q.spec.target.keepShare ?: 0.0) * max(inUse, 1) * seconds)
         }
     }
 
