--- a/bench/src/main/kotlin/io/poplarwood/bench/flood/FloodBench.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/flood/FloodBench.kt
@@ -14,7 +14,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** What each class keeps, and how fast urgent work is, while one rank floods at three times capacity. */
-class FloodBench(private val router: () -> FloodRouterFactory = FloodRouterFactory::pooled) : Bench {
+class FloodBench(private val router: () -> FloodRouterFactory = FloodRouterFactory::shipped) : Bench {
     override val name: String = "flood"
     override val summary: String = "shares, urgent latency and goodput while one rank floods at 3 times capacity"
 
--- a/bench/src/main/kotlin/io/poplarwood/bench/flood/FloodRouterFactory.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/flood/FloodRouterFactory.kt
@@ -5,7 +5,9 @@
 import io.poplarwood.api.random.Randomness
 import io.poplarwood.bench.virtual.EventLoop
 import io.poplarwood.decision.routing.Router
+import io.poplarwood.decision.routing.RouterSettings
 import io.poplarwood.decision.routing.SlotMessage
+import io.poplarwood.decision.routing.SlotRouter
 import io.poplarwood.decision.routing.UpstreamView
 
 /** Builds the routers of the entries of one [FloodCell]. */
@@ -30,6 +32,11 @@
     )
 
     companion object {
+        /** The shipped router. */
+        fun shipped(): FloodRouterFactory = FloodRouterFactory { site ->
+            SlotRouter(site.self, RouterSettings(site.zone), site.loop, site.random, site.send)
+        }
+
         /** Routers that see the load of all entries at once. */
         fun pooled(): FloodRouterFactory {
             var pool: PooledSlots? = null
