Stream forwarded requests between entries and test links over loopback

Cause: links were untested, and a key's owner had no way to get the request.

Change: Forwarder passes requests and answers in 16 KB chunks within a window of 16; a gap in the chunk indices or a lost link ends the exchange.

Conclusion: the entry can be wired to PeerNetwork and Forwarder.

--- a/peer/src/main/kotlin/io/poplarwood/peer/PeerNetwork.kt
+++ b/peer/src/main/kotlin/io/poplarwood/peer/PeerNetwork.kt
@@ -36,6 +36,7 @@
  *
  * @param self this run of the entry and the address at which others reach its listener
  * @param admit whether a peer that proved the secret may have a link
+ * @param onLinkLost the link in use to the entry at an address has ended; frames may be lost
  * @param onMessage receives messages; must return soon, as it holds up the link
  */
 class PeerNetwork(
@@ -45,6 +46,7 @@
     private val ticker: Ticker,
     private val random: Randomness,
     admit: (Peer) -> Boolean = { true },
+    private val onLinkLost: (String) -> Unit = {},
     private val onMessage: suspend (Peer, PeerMessage) -> Unit,
 ) {
     private val handshake = Handshake(settings.secret, settings.versions, self, admit, random)
@@ -76,7 +78,7 @@
     }
 
     /** Sends part of a body, waiting while much of such is queued for [address]. */
-    internal suspend fun put(address: String, message: PeerMessage) {
+    suspend fun put(address: String, message: PeerMessage) {
         encode(message)?.let { route(address).put(it) }
     }
 
@@ -186,7 +188,9 @@
             links -= link
         }
         val route = routes[link.peer.address] ?: return
-        if (link.inUse && route.current() == null) route.wake()
+        if (route.current() != null) return
+        onLinkLost(link.peer.address)
+        if (link.inUse) route.wake()
     }
 
     private fun wire(socket: Socket) =
--- /dev/null
+++ b/peer/src/main/kotlin/io/poplarwood/peer/forward/Exchange.kt
@@ -0,0 +1,23 @@
+package io.poplarwood.peer.forward
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import io.poplarwood.peer.message.ForwardAnswerHead
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.Job
+
+/** A forwarded request at either side. */
+internal class Exchange(val address: String, val inflow: Inflow, val outflow: Outflow) {
+    /** Head of the answer, at the side that forwards. */
+    val answer = CompletableDeferred<Result<ForwardAnswerHead, ForwardFailure>>()
+
+    /** What runs for the exchange and ends with it. */
+    var job: Job? = null
+
+    /** Ends the exchange early. */
+    fun lost() {
+        answer.complete(Err(ForwardFailure.LOST))
+        inflow.lost()
+        job?.cancel()
+    }
+}
--- /dev/null
+++ b/peer/src/main/kotlin/io/poplarwood/peer/forward/LaunchBody.kt
@@ -0,0 +1,21 @@
+package io.poplarwood.peer.forward
+
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.SendChannel
+import kotlinx.coroutines.launch
+
+/** Fills [out] by [fill] and closes it, with the failure when there is one. */
+internal fun CoroutineScope.launchBody(out: SendChannel<ByteArray>, fill: suspend () -> Unit) {
+    launch {
+        try {
+            fill()
+            out.close()
+        } catch (e: CancellationException) {
+            out.close(BodyLost())
+            throw e
+        } catch (e: Exception) {
+            out.close(e)
+        }
+    }
+}
--- /dev/null
+++ b/peer/src/test/kotlin/io/poplarwood/peer/ForwarderSpec.kt
@@ -0,0 +1,141 @@
+package io.poplarwood.peer
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import io.poplarwood.api.id.RequestId
+import io.poplarwood.api.id.ServiceName
+import io.poplarwood.api.random.SplitMix
+import io.poplarwood.peer.forward.Body
+import io.poplarwood.peer.forward.BodyLost
+import io.poplarwood.peer.forward.ForwardFailure
+import io.poplarwood.peer.forward.ForwardReply
+import io.poplarwood.peer.forward.Forwarder
+import io.poplarwood.peer.message.ForwardAnswerHead
+import io.poplarwood.peer.message.ForwardHead
+import io.poplarwood.peer.message.PeerMessage
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.channels.consumeEach
+import kotlinx.coroutines.channels.produce
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
+import java.io.ByteArrayOutputStream
+import kotlin.test.Test
+import kotlin.test.assertContentEquals
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class ForwarderSpec {
+    private val open = ArrayList<AutoCloseable>()
+    private val head = ForwardHead(RequestId("r1"), ServiceName("s"), "POST", "/orders", emptyList(), 1_000)
+    private val forwarders = HashMap<TestEntry, Forwarder>()
+
+    @AfterEach
+    fun closeAll() = open.asReversed().forEach { it.close() }
+
+    private fun entry(name: String, serve: suspend (Body) -> ForwardReply = { error("not asked") }): TestEntry {
+        val entry = TestEntry(name) { me, from, message -> forwarders.getValue(me).receive(from, message) }
+        val network = entry.network
+        forwarders[entry] =
+            Forwarder(entry.scope, SplitMix(1), network::send, network::put) { _, _, body -> serve(body) }
+        open += entry
+        return entry
+    }
+
+    private suspend fun bytes(body: Body): ByteArray {
+        val out = ByteArrayOutputStream()
+        body.consumeEach { out.write(it) }
+        return out.toByteArray()
+    }
+
+    private fun TestEntry.body(vararg parts: ByteArray): Body = scope.produce { parts.forEach { send(it) } }
+
+    @Nested
+    inner class `a forwarded request` {
+        @Test
+        fun `is answered whole, bodies larger than all windows included`() = runBlocking {
+            // Guards against lost or reordered chunks and against bodies held in memory whole.
+            val data = ByteArray(3_000_000) { (it * 31).toByte() }
+            val a = entry("a")
+            val b = entry("b") { body -> ForwardReply(ForwardAnswerHead(201, emptyList()), body) }
+            val reply = assertNotNull(forwarders.getValue(a).forward(b.address, head, a.body(data), 5.seconds).get())
+            assertEquals(201, reply.head.status)
+            assertContentEquals(data, withTimeout(20.seconds) { bytes(reply.body) })
+            TestEntry.eventually(2.seconds) { forwarders.values.all { it.underWay == 0 } }
+        }
+
+        @Test
+        fun `never looks complete to its owner when its body is cut short`() = runBlocking {
+            // Guards against truncated uploads that an upstream takes for whole.
+            val seen = Channel<Result<ByteArray>>(1)
+            val a = entry("a")
+            val b = entry("b") { body ->
+                seen.send(runCatching { bytes(body) })
+                error("cut short")
+            }
+            val cut: Body = a.scope.produce {
+                send(ByteArray(10))
+                throw BodyLost()
+            }
+            val failure = forwarders.getValue(a).forward(b.address, head, cut, 5.seconds).getError()
+            assertEquals(ForwardFailure.LOST, failure)
+            assertTrue(withTimeout(5.seconds) { seen.receive() }.isFailure, "the owner read a complete body")
+        }
+
+        @Test
+        fun `fails as timed out when its owner does not answer`() = runBlocking {
+            // Guards against a caller that waits for ever.
+            val a = entry("a")
+            val b = entry("b") {
+                delay(60.seconds)
+                error("late")
+            }
+            val failure = forwarders.getValue(a).forward(b.address, head, a.body(), 300.milliseconds).getError()
+            assertEquals(ForwardFailure.TIMED_OUT, failure)
+            TestEntry.eventually(2.seconds) { forwarders.values.all { it.underWay == 0 } }
+        }
+
+        @Test
+        fun `holds a bounded number of chunks when the reader is slow`() = runBlocking {
+            // Guards the memory of the entry that receives a large body.
+            var produced = 0
+            val a = entry("a")
+            val b = entry("b") {
+                val endless: Body = open.filterIsInstance<TestEntry>().last().scope.produce {
+                    while (true) {
+                        send(ByteArray(16 * 1024))
+                        produced++
+                    }
+                }
+                ForwardReply(ForwardAnswerHead(200, emptyList()), endless)
+            }
+            val reply = assertNotNull(forwarders.getValue(a).forward(b.address, head, a.body(), 5.seconds).get())
+            delay(500.milliseconds)
+            assertTrue(produced <= 20, "$produced chunks were sent to a reader that took none")
+            reply.body.cancel()
+            TestEntry.eventually(2.seconds) { forwarders.values.all { it.underWay == 0 } }
+        }
+    }
+
+    @Nested
+    inner class `a message that belongs to no exchange` {
+        @Test
+        fun `is left to the caller`() {
+            // Guards against news that the forwarder swallows.
+            val a = entry("a")
+            val from = io.poplarwood.fleet.message.Peer(
+                io.poplarwood.api.id.EntryRef(
+                    io.poplarwood.api.id.EntryId("b"),
+                    io.poplarwood.api.id.Incarnation(1, 1),
+                ),
+                "127.0.0.1:1",
+            )
+            assertEquals(false, forwarders.getValue(a).receive(from, PeerMessage.CrashCleared(3)))
+        }
+    }
+}
--- /dev/null
+++ b/peer/src/test/kotlin/io/poplarwood/peer/Relay.kt
@@ -0,0 +1,49 @@
+package io.poplarwood.peer
+
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicBoolean
+import kotlin.concurrent.thread
+
+/** Passes connections on to [target]; those open at [silence] stay open and pass nothing more, new ones work. */
+internal class Relay(private val target: Int) : AutoCloseable {
+    private val server = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
+    private val sockets = CopyOnWriteArrayList<Socket>()
+    private val silences = CopyOnWriteArrayList<AtomicBoolean>()
+    val port: Int get() = server.localPort
+    val connections: Int get() = silences.size
+
+    init {
+        thread(isDaemon = true) { runCatching { while (true) pass(server.accept()) } }
+    }
+
+    fun silence() = silences.forEach { it.set(true) }
+
+    private fun pass(near: Socket) {
+        val silent = AtomicBoolean()
+        val far = Socket(InetAddress.getLoopbackAddress(), target)
+        sockets += listOf(near, far)
+        silences += silent
+        copy(near, far, silent)
+        copy(far, near, silent)
+    }
+
+    private fun copy(from: Socket, to: Socket, silent: AtomicBoolean) = thread(isDaemon = true) {
+        runCatching {
+            val buffer = ByteArray(8192)
+            while (true) {
+                val count = from.getInputStream().read(buffer)
+                if (count < 0) break
+                if (!silent.get()) to.getOutputStream().write(buffer, 0, count)
+            }
+        }
+        if (!silent.get()) to.close()
+    }
+
+    override fun close() {
+        server.close()
+        sockets.forEach { it.close() }
+    }
+}
