--- /dev/null
+++ b/bench/src/main/kotlin/io/poplarwood/bench/demo/RunningEntry.kt
@@ -0,0 +1,13 @@
+package io.poplarwood.bench.demo
+
+/** An entry that runs in this process. */
+interface RunningEntry {
+    /** `ip:port` for callers. */
+    val callersAddress: String
+
+    /** `ip:port` for operators. */
+    val operatorsAddress: String
+
+    /** Stops gracefully. */
+    suspend fun stop()
+}
--- a/entry/src/main/kotlin/io/poplarwood/entry/operator/OperatorClient.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/operator/OperatorClient.kt
@@ -5,6 +5,7 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.map
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.apache5.Apache5
 import io.ktor.client.network.sockets.ConnectTimeoutException
@@ -83,6 +84,10 @@
     suspend fun automation(paused: Boolean): Result<AutomationState, OperatorFailure> =
         ask(HttpMethod.Post, if (paused) "/v1/automation/pause" else "/v1/automation/resume") {}
 
+    /** Metrics of the first entry that answers, in Prometheus text format. */
+    suspend fun metrics(): Result<String, OperatorFailure> =
+        send(entries, HttpMethod.Get, "/metrics") {}.map { it.text }
+
     override fun close(): Unit = client.close()
 
     private suspend inline fun <reified T> get(path: String): Result<T, OperatorFailure> = ask(HttpMethod.Get, path) {}
