Do not suspect requests that upstreams answer

Cause: a request is suspected when an upstream is lost under it; common requests such as status checks were then held for two settle times (2 s) at every crash, although the same request had been answered moments before. Documents carry the operators' switch that pauses automation.

--- a/api/src/main/kotlin/io/poplarwood/api/work/ServiceDocument.kt
+++ b/api/src/main/kotlin/io/poplarwood/api/work/ServiceDocument.kt
@@ -10,6 +10,7 @@
  * @property classes at least one; names are unique
  * @property defaultClass class of a request that no rule matches
  * @property probesPerSecond probes and report reads a second that measuring may put on the service, over all entries
+ * @property automationPaused stops ejection and moves of capacity, for the time of a repair by hand
  */
 @Serializable
 data class ServiceDocument(
@@ -17,6 +18,7 @@
     val classes: List<ClassSpec>,
     val defaultClass: ClassName,
     val probesPerSecond: Double = 20.0,
+    val automationPaused: Boolean = false,
 ) {
     /** The class called [name], or null. */
     fun classNamed(name: ClassName): ClassSpec? = classes.firstOrNull { it.name == name }
--- a/decision/src/main/kotlin/io/poplarwood/decision/crash/CrashTable.kt
+++ b/decision/src/main/kotlin/io/poplarwood/decision/crash/CrashTable.kt
@@ -87,7 +87,7 @@
      */
     @Synchronized
     fun lost(fingerprint: Long, upstream: UpstreamId, startedAt: Duration, now: Duration): Boolean {
-        if (fingerprint == 0L) return false
+        if (fingerprint == 0L || answeredLately(fingerprint, now)) return false
         val row = row(fingerprint)
         if (row.trialAt == startedAt) row.trialAt = null
         val known = row.lossAt(upstream)
@@ -101,9 +101,7 @@
     @Synchronized
     fun merge(news: CrashNews, now: Duration) {
         if (news.fingerprint == 0L || news.ageMs.milliseconds >= settings.expiry) return
-        // What was answered here does not crash every upstream. Without this, each crash would hold up common requests.
-        val answered = answeredAt[news.fingerprint]
-        if (answered != null && now - answered < settings.expiry) return
+        if (answeredLately(news.fingerprint, now)) return
         val row = row(news.fingerprint)
         val known = row.lossAt(news.upstream)
         // The same loss may be told by several peers, and may be known from an own connection.
@@ -129,6 +127,12 @@
         return if (now < start + settings.window) maxOf(start, now) else start + cycle
     }
 
+    /** What was answered does not crash every upstream. Without this, each crash would hold up common requests. */
+    private fun answeredLately(fingerprint: Long, now: Duration): Boolean {
+        val answered = answeredAt[fingerprint] ?: return false
+        return now - answered < settings.expiry
+    }
+
     private fun disproved(loss: Suspicion.Loss, startedAt: Duration, now: Duration) =
         loss.own && (startedAt < loss.learntAt || now - loss.learntAt < settings.quickestRestart)
 
