--- a/bench/src/main/kotlin/io/poplarwood/bench/Benches.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/Benches.kt
@@ -5,6 +5,7 @@
 import io.poplarwood.bench.deep.DeepBench
 import io.poplarwood.bench.flood.FloodBench
 import io.poplarwood.bench.routing.RoutingBench
+import io.poplarwood.bench.slopes.SlopesBench
 
 /** All measurements in the order of `bench --list`. */
 object Benches {
@@ -14,5 +15,6 @@
         FloodBench(),
         BudgetBench(),
         DeepBench(),
+        SlopesBench(),
     )
 }
