Wire decisions, fleet, links and listener into one entry

Cause: the parts existed side by side; a caller could not be served. Change: EntryNode runs the fleet node, links, dispatchers per service, the callers' listener with the directory, requests with idempotency keys (run here, joined, forwarded to their owner over the peer link, or claimed in the table), crash news, probes within the measuring budget, graceful stop and the operators' backend.

--- a/decision/src/main/kotlin/io/poplarwood/decision/dispatch/ServiceDispatcher.kt
+++ b/decision/src/main/kotlin/io/poplarwood/decision/dispatch/ServiceDispatcher.kt
@@ -125,6 +125,7 @@
 
     override fun configure(document: ServiceDocument) {
         this.document = document
+        router.pauseAutomation(document.automationPaused)
         for (spec in document.classes) {
             val known = queues[spec.name]
             val budget = RetryBudget(settings.retryShare, settings.retryFloorPerSecond, ticker.now())
--- a/entry/src/main/kotlin/io/poplarwood/entry/http/AnswerWriter.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/http/AnswerWriter.kt
@@ -10,6 +10,7 @@
 import io.ktor.utils.io.readAvailable
 import io.poplarwood.api.id.RequestId
 import io.poplarwood.api.outcome.Refusal
+import io.poplarwood.decision.once.StoredAnswer
 import io.poplarwood.entry.forward.HopHeaders
 import io.poplarwood.entry.forward.UpstreamAnswer
 import io.poplarwood.entry.metrics.EntryMetrics
@@ -51,6 +52,16 @@
         call.respond(content)
     }
 
+    /** Answers with [answer], which was kept. */
+    suspend fun replay(call: ApplicationCall, answer: StoredAnswer, id: RequestId) {
+        for (h in answer.headers) call.response.headers.append(h.name, h.value, safeOnly = false)
+        call.response.headers.append(Own.REQUEST_ID, id.value)
+        val status = HttpStatusCode(answer.status, "")
+        metrics.answerBytes(answer.body.size.toLong())
+        val bodiless = answer.status in BODILESS
+        call.respond(if (bodiless) BodilessAnswer(status, null) else WholeAnswer(status, answer.body))
+    }
+
     private suspend fun readWhole(answer: UpstreamAnswer, length: Int): ByteArray {
         val bytes = ByteArray(length)
         var at = 0
--- a/entry/src/main/kotlin/io/poplarwood/entry/http/CallAttempts.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/http/CallAttempts.kt
@@ -2,21 +2,27 @@
 
 import io.ktor.http.HttpHeaders
 import io.ktor.server.application.ApplicationCall
-import io.poplarwood.api.http.Headers
 import io.poplarwood.api.outcome.Refusal
 import io.poplarwood.api.outcome.RefusalReason
 import io.poplarwood.api.time.Ticker
 import io.poplarwood.decision.dispatch.Command
+import io.poplarwood.decision.once.KeyOutcome
+import io.poplarwood.decision.once.StoredAnswer
 import io.poplarwood.decision.routing.AttemptEvidence
 import io.poplarwood.decision.routing.AttemptResult
 import io.poplarwood.entry.forward.Forwarder
 import io.poplarwood.entry.forward.HopHeaders
 import io.poplarwood.entry.forward.Outbound
 import io.poplarwood.entry.forward.RequestBody
+import io.poplarwood.entry.forward.UpstreamAnswer
 import io.poplarwood.entry.metrics.EntryMetrics
 import kotlin.time.Duration
 
-/** The attempts of one call. */
+/**
+ * The attempts of one call.
+ *
+ * @param keyed whether small answers are kept for resends in place of being passed on at once
+ */
 internal class CallAttempts(
     private val call: ApplicationCall,
     private val inbound: Inbound,
@@ -26,10 +32,12 @@
     private val writer: AnswerWriter,
     private val ticker: Ticker,
     private val metrics: EntryMetrics,
+    private val keyed: Boolean,
 ) {
     private val awaitsContinue = call.request.headers[HttpHeaders.Expect].equals("100-continue", ignoreCase = true)
     private var body: RequestBody = RequestBody.None
     private var handed = false
+    private var kept: StoredAnswer? = null
 
     /** True once the head of an answer went to the caller, after which no further attempt may answer. */
     var committed: Boolean = false
@@ -58,9 +66,7 @@
         if (committed) return AttemptEvidence(AttemptResult.CANCELLED, Duration.ZERO)
         dispatch.retry?.let(metrics::retried)
         val evidence =
-            forwarder.send(outbound(dispatch)) { answer ->
-                writer.pass(call, answer, inbound.call.request, exchange) { committed = true }
-            }
+            forwarder.send(outbound(dispatch)) { deliver(it) }
         metrics.attempted(evidence.result)
         return evidence
     }
@@ -75,30 +81,34 @@
         return if (handed) Refusal(RefusalReason.CONNECTION_LOST) else failure.refusal
     }
 
-    private fun outbound(dispatch: Command.Dispatch): Outbound {
-        val remaining = (inbound.call.deadline - ticker.now()).inWholeMilliseconds.coerceAtLeast(0)
+    /** The body when it is at hand, empty when there is none; null when it is still arriving. */
+    fun keptBody(): ByteArray? = when (val known = body) {
+        RequestBody.None -> ByteArray(0)
+        is RequestBody.Kept -> known.bytes
+        is RequestBody.Arriving -> null
+    }
+
+    /** Headers of the request that go beyond this connection. */
+    fun endToEndHeaders(): List<Pair<String, String>> {
         val named = HopHeaders.named(call.request.headers.getAll(HttpHeaders.Connection))
         val headers = ArrayList<Pair<String, String>>()
         call.request.headers.forEach { name, values ->
             if (HopHeaders.passesToUpstream(name, named)) values.forEach { headers += name to it }
         }
-        headers += Headers.SERVICE to inbound.service.value
-        headers += Headers.CLASS to inbound.workClass.name.value
-        headers += Headers.DEADLINE_MS to remaining.toString()
-        headers += Headers.DEPTH to (inbound.depth + 1).toString()
-        headers += Headers.RETRY to "no"
-        headers += Headers.RANK to inbound.rank
-        headers += Headers.REQUEST_ID to inbound.call.request.value
-        return Outbound(
-            address = dispatch.upstream.address,
-            method = inbound.method,
-            target = inbound.target,
-            host = call.request.headers[HttpHeaders.Host].orEmpty(),
-            headers = headers,
-            body = body,
-            recentOnly = !inbound.call.idempotent,
-            latencyKey = "${inbound.service}/${inbound.workClass.name}",
-            deadline = inbound.call.deadline,
-        )
+        return headers
+    }
+
+    /** How the call ended, as resends of its key see it. */
+    fun outcome(refusal: Refusal?): KeyOutcome = outcomeOf(refusal, kept, committed)
+
+    private suspend fun deliver(answer: UpstreamAnswer) {
+        // The answer to a request with a key is read first, so that it is not lost with its caller.
+        kept = if (keyed) AnswerKeeper.keep(answer) else null
+        if (kept == null) writer.pass(call, answer, inbound.call.request, exchange) { committed = true }
+    }
+
+    private fun outbound(dispatch: Command.Dispatch): Outbound {
+        val host = call.request.headers[HttpHeaders.Host].orEmpty()
+        return inbound.outbound(dispatch, endToEndHeaders(), host, body, ticker.now())
     }
 }
--- a/entry/src/main/kotlin/io/poplarwood/entry/http/CallHandler.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/http/CallHandler.kt
@@ -3,16 +3,22 @@
 import com.github.michaelbull.result.getOrElse
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.netty.NettyApplicationRequest
+import io.poplarwood.api.http.Headers
 import io.poplarwood.api.id.RequestId
 import io.poplarwood.api.id.ServiceName
 import io.poplarwood.api.outcome.Refusal
 import io.poplarwood.api.outcome.RefusalReason
 import io.poplarwood.api.time.Ticker
+import io.poplarwood.decision.once.KeyOutcome
+import io.poplarwood.decision.once.StoredAnswer
 import io.poplarwood.entry.forward.Forwarder
 import io.poplarwood.entry.forward.HopHeaders
 import io.poplarwood.entry.metrics.EntryMetrics
+import io.poplarwood.entry.once.KeyService
 import io.poplarwood.entry.runtime.CallRunner
 import io.poplarwood.entry.settings.HttpSettings
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.job
 import java.util.concurrent.atomic.AtomicInteger
@@ -27,6 +33,8 @@
     private val ticker: Ticker,
     private val metrics: EntryMetrics,
     private val requestIds: () -> RequestId,
+    private val keys: KeyService?,
+    private val scope: CoroutineScope,
 ) {
     private val running = AtomicInteger()
 
@@ -74,26 +82,49 @@
         exchange: CallerExchange,
     ) {
         val body = if (inbound.bodyLength == 0L) null else bodyReader(call, inbound, exchange)
-        val attempts = CallAttempts(call, inbound, exchange, body, forwarder, writer, ticker, metrics)
-        val refusal =
+        val keyService = keys.takeIf { !inbound.call.idempotent }
+        val key = if (keyService == null) null else call.request.headers[Headers.IDEMPOTENCY_KEY]
+        val keyed = key != null
+        val attempts = CallAttempts(call, inbound, exchange, body, forwarder, writer, ticker, metrics, keyed)
+        val answer =
             try {
                 attempts.prepare()
-                attempts.finalRefusal(runner.run(inbound.call) { attempts.attempt(it) })
+                val ready = inbound.withBody(attempts.keptBody())
+                if (keyService != null && key != null) {
+                    decideKeyed(key, KeyedCall(ready, attempts, runner, keyService, ticker), attempts)
+                } else {
+                    FinalAnswer(attempts.finalRefusal(runner.run(ready.call) { attempts.attempt(it) }))
+                }
             } catch (e: BodyFailure) {
-                e.refusal
+                FinalAnswer(e.refusal)
             }
-        val outcome = refusal?.reason?.kind?.wire ?: ANSWERED
+        val outcome = answer.refusal?.reason?.kind?.wire ?: ANSWERED
         metrics.finished(inbound.service, inbound.workClass.name, outcome, ticker.now() - inbound.call.arrived)
+        val id = inbound.call.request
         when {
             attempts.committed -> Unit
 
-            refusal != null -> refuse(call, refusal, inbound.call.request)
+            answer.refusal != null -> refuse(call, answer.refusal, id)
+
+            answer.kept != null -> writer.replay(call, answer.kept, id)
 
             // The decisions ended the call without an answer; the caller must not take that for an empty one.
             else -> exchange.abort()
         }
     }
 
+    /** A request whose body is at hand runs to its end even without its caller, so that a resend finds its answer. */
+    private suspend fun decideKeyed(key: String, call: KeyedCall, attempts: CallAttempts): FinalAnswer {
+        val outcome =
+            if (attempts.keptBody() == null) call.decide(key) else scope.async { call.decide(key) }.await()
+        return when (outcome) {
+            is KeyOutcome.Answered -> FinalAnswer(null, outcome.answer)
+            is KeyOutcome.Refused -> FinalAnswer(call.refusal(outcome.reason))
+        }
+    }
+
+    private class FinalAnswer(val refusal: Refusal?, val kept: StoredAnswer? = null)
+
     private fun bodyReader(
         call: ApplicationCall,
         inbound: Inbound,
--- a/entry/src/main/kotlin/io/poplarwood/entry/http/CallServer.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/http/CallServer.kt
@@ -14,12 +14,16 @@
 import io.netty.handler.codec.http.HttpServerCodec
 import io.poplarwood.api.id.RequestId
 import io.poplarwood.api.id.ServiceName
+import io.poplarwood.api.outcome.RefusalReason
 import io.poplarwood.api.time.Ticker
 import io.poplarwood.api.work.ServiceDocument
+import io.poplarwood.decision.once.KeyOutcome
 import io.poplarwood.entry.forward.Forwarder
 import io.poplarwood.entry.metrics.EntryMetrics
+import io.poplarwood.entry.once.KeyService
 import io.poplarwood.entry.runtime.CallRunner
 import io.poplarwood.entry.settings.HttpSettings
+import io.poplarwood.peer.message.ForwardHead
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -37,6 +41,7 @@
  * @param entryName distinguishes the request identifiers of this entry
  * @param connectionLimit connections that this entry may open to an upstream address
  * @param probeAllowed whether the measuring budget allows a probe of an upstream address now
+ * @param keys takes requests with idempotency keys to their owners; null treats keys as any header
  * @param ownPaths answers what is for the entry itself; false for a request to forward
  */
 class CallServer(
@@ -49,21 +54,26 @@
     connectionLimit: (String) -> Int = { settings.upstreamConnections },
     probeAllowed: (String) -> Boolean = { true },
     ownPaths: suspend (ApplicationCall) -> Boolean = { false },
+    keys: KeyService? = null,
 ) {
     private val sequence = AtomicLong()
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val connections = CallerConnections(settings.callerConnections, metrics)
     private val forwarder = Forwarder(settings, ticker, metrics, connectionLimit, probeAllowed)
+    private val reader = RequestReader(settings, documents, ticker)
+    private val forwarded = keys?.let { ForwardedCalls(reader, runners, forwarder, ticker, metrics, it) }
     private val handler =
         CallHandler(
             settings = settings,
-            reader = RequestReader(settings, documents, ticker),
+            reader = reader,
             runners = runners,
             forwarder = forwarder,
             writer = AnswerWriter(metrics),
             ticker = ticker,
             metrics = metrics,
             requestIds = ::nextId,
+            keys = keys,
+            scope = scope,
         )
     private val listener = ListenerHandle()
     private val server: EmbeddedServer<NettyApplicationEngine, NettyApplicationEngine.Configuration> =
@@ -85,6 +95,10 @@
         port = server.engine.resolvedConnectors().first().port
     }
 
+    /** Runs a request that a peer forwarded here because this entry owns its key. */
+    suspend fun serve(head: ForwardHead, body: ByteArray): KeyOutcome =
+        forwarded?.serve(head, body) ?: KeyOutcome.Refused(RefusalReason.KEY_OWNER_UNREACHABLE)
+
     /** Asks [address] for any answer on a fresh connection; true when one came. */
     suspend fun probe(address: String): Boolean = forwarder.probe(address)
 
--- /dev/null
+++ b/entry/src/main/kotlin/io/poplarwood/entry/http/ForwardedCalls.kt
@@ -0,0 +1,80 @@
+package io.poplarwood.entry.http
+
+import com.github.michaelbull.result.getOrElse
+import io.poplarwood.api.id.EntryRef
+import io.poplarwood.api.id.ServiceName
+import io.poplarwood.api.outcome.RefusalReason
+import io.poplarwood.api.time.Ticker
+import io.poplarwood.decision.dispatch.Command
+import io.poplarwood.decision.once.IssuedKey
+import io.poplarwood.decision.once.KeyOutcome
+import io.poplarwood.decision.once.KeyPorts
+import io.poplarwood.decision.once.KeyedRequest
+import io.poplarwood.decision.once.StoredAnswer
+import io.poplarwood.decision.routing.AttemptEvidence
+import io.poplarwood.entry.forward.Forwarder
+import io.poplarwood.entry.forward.RequestBody
+import io.poplarwood.entry.metrics.EntryMetrics
+import io.poplarwood.entry.once.KeyService
+import io.poplarwood.entry.runtime.CallRunner
+import io.poplarwood.peer.message.ForwardHead
+import io.poplarwood.api.http.Headers as Own
+
+/** Runs requests that peers forward here because this entry owns their keys. */
+internal class ForwardedCalls(
+    private val reader: RequestReader,
+    private val runners: (ServiceName) -> CallRunner?,
+    private val forwarder: Forwarder,
+    private val ticker: Ticker,
+    private val metrics: EntryMetrics,
+    private val keys: KeyService,
+) {
+    /** Decides the request with [head] and its whole [body]. */
+    suspend fun serve(head: ForwardHead, body: ByteArray): KeyOutcome {
+        val inbound = reader.forwarded(head, body).getOrElse { return KeyOutcome.Refused(it.reason) }.withBody(body)
+        val runner = runners(head.service) ?: return KeyOutcome.Refused(RefusalReason.UNKNOWN_SERVICE)
+        val key = valueOf(head, Own.IDEMPOTENCY_KEY) ?: return KeyOutcome.Refused(RefusalReason.MALFORMED)
+        val claim = valueOf(head, CLAIM)?.let(IssuedKey::parse)
+        val request = KeyedRequest(key, head.service.value, inbound.call.fingerprint, claim, forwarded = true)
+        return keys.handle(request, Here(head, inbound, body, runner))
+    }
+
+    private fun valueOf(head: ForwardHead, name: String): String? =
+        head.headers.firstOrNull { it.name.equals(name, ignoreCase = true) }?.value
+
+    private inner class Here(
+        private val head: ForwardHead,
+        private val inbound: Inbound,
+        private val body: ByteArray,
+        private val runner: CallRunner,
+    ) : KeyPorts {
+        private var kept: StoredAnswer? = null
+        private var answered = false
+
+        override suspend fun run(): KeyOutcome {
+            val refusal = runner.run(inbound.call) { attempt(it) }
+            return outcomeOf(refusal, kept, answered)
+        }
+
+        override suspend fun forward(owner: EntryRef, request: KeyedRequest): KeyOutcome =
+            KeyOutcome.Refused(RefusalReason.KEY_OWNER_UNREACHABLE)
+
+        private suspend fun attempt(dispatch: Command.Dispatch): AttemptEvidence {
+            dispatch.retry?.let(metrics::retried)
+            val headers = head.headers.filter { it.name != CLAIM && it.name != Own.CLASS }.map { it.name to it.value }
+            val sent = if (body.isEmpty()) RequestBody.None else RequestBody.Kept(body)
+            val outbound = inbound.outbound(dispatch, headers, head.service.value, sent, ticker.now())
+            val evidence = forwarder.send(outbound) {
+                kept = AnswerKeeper.keep(it)
+                answered = true
+            }
+            metrics.attempted(evidence.result)
+            return evidence
+        }
+    }
+
+    companion object {
+        /** Header of a forwarded request that carries the claim of its key; never sent to an upstream. */
+        const val CLAIM: String = "Poplarwood-Claim"
+    }
+}
--- a/entry/src/main/kotlin/io/poplarwood/entry/http/Inbound.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/http/Inbound.kt
@@ -19,4 +19,11 @@
     val depth: Int,
     val rank: String,
     val bodyLength: Long?,
-)
+) {
+    /** The same request once its whole [body] is known, which tells it from others to the same target. */
+    fun withBody(body: ByteArray?): Inbound {
+        if (body == null || body.isEmpty()) return this
+        val known = call.copy(fingerprint = RequestFingerprint.withBody(call.fingerprint, body))
+        return Inbound(service, workClass, known, method, target, depth, rank, bodyLength)
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/poplarwood/entry/http/KeyedCall.kt
@@ -0,0 +1,70 @@
+package io.poplarwood.entry.http
+
+import com.github.michaelbull.result.getOrElse
+import io.poplarwood.api.http.Headers
+import io.poplarwood.api.id.EntryRef
+import io.poplarwood.api.outcome.Refusal
+import io.poplarwood.api.outcome.RefusalReason
+import io.poplarwood.api.time.Ticker
+import io.poplarwood.decision.once.KeyOutcome
+import io.poplarwood.decision.once.KeyPorts
+import io.poplarwood.decision.once.KeyedRequest
+import io.poplarwood.decision.once.StoredAnswer
+import io.poplarwood.entry.once.KeyService
+import io.poplarwood.entry.runtime.CallRunner
+import io.poplarwood.peer.message.ForwardHead
+import io.poplarwood.peer.message.HeaderLine
+
+/** A caller's request with an idempotency key, on its way to the one run of an entry that may dispatch it. */
+internal class KeyedCall(
+    private val inbound: Inbound,
+    private val attempts: CallAttempts,
+    private val runner: CallRunner,
+    private val keys: KeyService,
+    private val ticker: Ticker,
+) : KeyPorts {
+    private var refusal: Refusal? = null
+
+    /** Decides the request; the outcome is what the caller gets unless the answer was streamed to it already. */
+    suspend fun decide(key: String): KeyOutcome {
+        val call = inbound.call
+        return keys.handle(KeyedRequest(key, inbound.service.value, call.fingerprint), this)
+    }
+
+    /** The refusal for [reason], with the time to come back when this entry's decisions named one. */
+    fun refusal(reason: RefusalReason): Refusal = refusal?.takeIf { it.reason == reason } ?: Refusal(reason)
+
+    override suspend fun run(): KeyOutcome {
+        refusal = attempts.finalRefusal(runner.run(inbound.call) { attempts.attempt(it) })
+        return attempts.outcome(refusal)
+    }
+
+    /** Only a body at hand can be passed on; the owner of a larger one has to be addressed by the caller. */
+    override suspend fun forward(owner: EntryRef, request: KeyedRequest): KeyOutcome {
+        val body = attempts.keptBody() ?: return UNREACHABLE
+        val remaining = inbound.call.deadline - ticker.now()
+        val claim = request.claim?.let { listOf(HeaderLine(ForwardedCalls.CLAIM, it.toString())) }.orEmpty()
+        val lines = attempts.endToEndHeaders().map { (name, value) -> HeaderLine(name, value) }
+        val named = HeaderLine(Headers.CLASS, inbound.workClass.name.value)
+        val head = ForwardHead(
+            inbound.call.request,
+            inbound.service,
+            inbound.method,
+            inbound.target,
+            lines + named + claim,
+            remaining.inWholeMilliseconds,
+        )
+        return keys.forward(owner, head, body, remaining).getOrElse { UNREACHABLE }
+    }
+
+    private companion object {
+        val UNREACHABLE = KeyOutcome.Refused(RefusalReason.KEY_OWNER_UNREACHABLE)
+    }
+}
+
+/** How a call ended here, as resends of its key see it. */
+internal fun outcomeOf(refusal: Refusal?, kept: StoredAnswer?, streamed: Boolean): KeyOutcome = when {
+    kept != null -> KeyOutcome.Answered(kept)
+    streamed -> KeyOutcome.Answered(null)
+    else -> KeyOutcome.Refused(refusal?.reason ?: RefusalReason.CONNECTION_LOST)
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/poplarwood/entry/http/Outbounds.kt
@@ -0,0 +1,37 @@
+package io.poplarwood.entry.http
+
+import io.poplarwood.api.http.Headers
+import io.poplarwood.decision.dispatch.Command
+import io.poplarwood.entry.forward.Outbound
+import io.poplarwood.entry.forward.RequestBody
+import kotlin.time.Duration
+
+/** The request as it leaves for the upstream of [dispatch] with the end-to-end headers [passed]. */
+internal fun Inbound.outbound(
+    dispatch: Command.Dispatch,
+    passed: List<Pair<String, String>>,
+    host: String,
+    body: RequestBody,
+    now: Duration,
+): Outbound {
+    val remaining = (call.deadline - now).inWholeMilliseconds.coerceAtLeast(0)
+    val headers = ArrayList<Pair<String, String>>(passed)
+    headers += Headers.SERVICE to service.value
+    headers += Headers.CLASS to workClass.name.value
+    headers += Headers.DEADLINE_MS to remaining.toString()
+    headers += Headers.DEPTH to (depth + 1).toString()
+    headers += Headers.RETRY to "no"
+    headers += Headers.RANK to rank
+    headers += Headers.REQUEST_ID to call.request.value
+    return Outbound(
+        address = dispatch.upstream.address,
+        method = method,
+        target = target,
+        host = host,
+        headers = headers,
+        body = body,
+        recentOnly = !call.idempotent,
+        latencyKey = "$service/${workClass.name}",
+        deadline = call.deadline,
+    )
+}
--- a/entry/src/main/kotlin/io/poplarwood/entry/http/RequestReader.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/http/RequestReader.kt
@@ -22,6 +22,7 @@
 import io.poplarwood.decision.dispatch.Call
 import io.poplarwood.decision.dispatch.CallId
 import io.poplarwood.entry.settings.HttpSettings
+import io.poplarwood.peer.message.ForwardHead
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -58,6 +59,27 @@
             Inbound(service, workClass, call, request.httpMethod.value, request.uri, depth.toInt(), rank, length)
         }
 
+    /** A request that a peer forwarded with its whole body. */
+    fun forwarded(head: ForwardHead, body: ByteArray): Result<Inbound, Refusal> = binding {
+        val document = given(documents(head.service), RefusalReason.UNKNOWN_SERVICE).bind()
+        val named = head.headers.firstOrNull { it.name == Headers.CLASS }?.value.orEmpty()
+        val workClass = given(document.classNamed(ClassName(named)), RefusalReason.UNKNOWN_CLASS).bind()
+        allowed(head.remainingMs > 0, RefusalReason.DEADLINE_PASSED).bind()
+        val key = head.headers.firstOrNull { it.name.equals(Headers.IDEMPOTENCY_KEY, ignoreCase = true) }?.value
+        val now = ticker.now()
+        val call = Call(
+            id = CallId(calls.incrementAndGet()),
+            request = head.requestId,
+            workClass = workClass.name,
+            idempotent = false,
+            arrived = now,
+            deadline = now + head.remainingMs.milliseconds,
+            fingerprint = RequestFingerprint.of(head.service.value, head.method, head.target, key),
+        )
+        val rank = workClass.rank.name.lowercase()
+        Inbound(head.service, workClass, call, head.method, head.target, 0, rank, body.size.toLong())
+    }
+
     private fun callOf(
         request: ApplicationRequest,
         id: RequestId,
@@ -67,8 +89,8 @@
         length: Long?,
     ): Call {
         val method = request.httpMethod.value
-        val path = request.uri.substringBefore('?')
         val now = ticker.now()
+        val key = request.headers[Headers.IDEMPOTENCY_KEY]
         return Call(
             id = CallId(calls.incrementAndGet()),
             request = id,
@@ -78,7 +100,7 @@
             deadline = now + remainingMs.milliseconds,
             replayable = length != null && length <= settings.keptBodyBytes,
             mayRetry = request.headers[Headers.RETRY] != "no",
-            fingerprint = RequestFingerprint.of(service.value, method, path, request.headers[Headers.IDEMPOTENCY_KEY]),
+            fingerprint = RequestFingerprint.of(service.value, method, request.uri, key),
         )
     }
 
--- a/entry/src/main/kotlin/io/poplarwood/entry/metrics/EntryMetrics.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/metrics/EntryMetrics.kt
@@ -16,7 +16,10 @@
 import kotlin.time.DurationUnit
 
 /** Metrics of the data path; docs/metrics.md lists them. Every reason is registered at zero. */
-class EntryMetrics(private val registry: PrometheusRegistry = PrometheusRegistry()) {
+class EntryMetrics(
+    private val registry: PrometheusRegistry = PrometheusRegistry(),
+    private val recent: RecentCalls? = null,
+) {
     private val requests =
         counter("poplarwood_requests", "Requests by their final outcome.", "service", "class", "outcome")
     private val refusals = counter("poplarwood_refusals", "Answers that are not the upstream's own.", "reason")
@@ -84,6 +87,7 @@
     fun finished(service: ServiceName, workClass: ClassName, outcome: String, took: Duration) {
         requests.labelValues(service.value, workClass.value, outcome).inc()
         latency.labelValues(service.value, workClass.value).observe(took.toDouble(DurationUnit.SECONDS))
+        recent?.record(service, workClass, outcome == ANSWERED, took)
     }
 
     /** All metrics in the Prometheus text format. */
@@ -107,6 +111,7 @@
             .apply { if (unit != null) unit(unit) }.register(registry)
 
     private companion object {
+        const val ANSWERED = "answered"
         val LATENCY_BOUNDS =
             doubleArrayOf(0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0)
     }
--- /dev/null
+++ b/entry/src/main/kotlin/io/poplarwood/entry/node/DirectoryRoute.kt
@@ -0,0 +1,49 @@
+package io.poplarwood.entry.node
+
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.httpMethod
+import io.ktor.server.request.path
+import io.ktor.server.response.respondText
+import io.poplarwood.api.id.ServiceName
+import io.poplarwood.api.id.Zone
+import io.poplarwood.fleet.FleetRunner
+import kotlinx.serialization.json.Json
+import kotlin.time.Clock
+
+/** Answers callers who ask which entries to use. */
+internal class DirectoryRoute(
+    private val services: Services,
+    private val clock: Clock,
+    private val fleet: () -> FleetRunner?,
+) {
+    /** Answers [call] and returns true when it is for the directory. */
+    suspend fun handle(call: ApplicationCall): Boolean {
+        if (call.request.path() != PATH || call.request.httpMethod.value != "GET") return false
+        val service = call.request.queryParameters["service"]?.let(::ServiceName)
+        val running = fleet()
+        if (service == null || running == null || services[service] == null) {
+            call.respondText("", status = HttpStatusCode.NotFound)
+            return true
+        }
+        val zone = call.request.queryParameters["zone"]?.let(::Zone)
+        val body = answer(running, service, zone, call.request.local.remoteAddress)
+        call.respondText(Json.encodeToString(body), ContentType.Application.Json)
+        return true
+    }
+
+    private suspend fun answer(running: FleetRunner, service: ServiceName, zone: Zone?, caller: String): DirectoryBody {
+        val found = running.read { entriesFor(service, zone, caller) }
+        val issued = clock.now().toEpochMilliseconds().toString(RADIX)
+        val entries = found.entries.map {
+            DirectoryEntryBody(it.address, it.zone.value, "${it.keyPrefix}.$issued.")
+        }
+        return DirectoryBody(service.value, found.lifetime.inWholeMilliseconds, entries)
+    }
+
+    private companion object {
+        const val PATH = "/poplarwood/entries"
+        const val RADIX = 36
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/poplarwood/entry/node/ForwardDesk.kt
@@ -0,0 +1,25 @@
+package io.poplarwood.entry.node
+
+import io.poplarwood.decision.once.KeyOutcome
+import io.poplarwood.entry.http.CallServer
+import io.poplarwood.peer.forward.Body
+import io.poplarwood.peer.forward.ForwardReply
+import io.poplarwood.peer.message.ForwardHead
+import java.io.ByteArrayOutputStream
+
+/** Answers requests that peers forward here because this entry owns their keys. */
+internal class ForwardDesk(
+    private val maxBytes: Int,
+    private val keys: NodeKeys,
+    private val calls: () -> CallServer,
+) {
+    /** Decides the request with [head]; throws what cut its [body] short. */
+    suspend fun serve(head: ForwardHead, body: Body): ForwardReply {
+        val bytes = ByteArrayOutputStream()
+        for (chunk in body) {
+            bytes.write(chunk)
+            if (bytes.size() > maxBytes) return keys.reply(KeyOutcome.Refused(NodeKeys.TOO_LARGE))
+        }
+        return keys.reply(calls().serve(head, bytes.toByteArray()))
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/poplarwood/entry/node/NodeKeys.kt
@@ -0,0 +1,117 @@
+package io.poplarwood.entry.node
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.map
+import io.poplarwood.api.http.Headers
+import io.poplarwood.api.id.EntryRef
+import io.poplarwood.api.outcome.RefusalReason
+import io.poplarwood.api.platform.TableStore
+import io.poplarwood.api.random.Randomness
+import io.poplarwood.decision.once.AtMostOnce
+import io.poplarwood.decision.once.KeyOutcome
+import io.poplarwood.decision.once.KeyPorts
+import io.poplarwood.decision.once.KeyTable
+import io.poplarwood.decision.once.KeyedRequest
+import io.poplarwood.decision.once.StoredAnswer
+import io.poplarwood.decision.once.StoredHeader
+import io.poplarwood.entry.once.KeyService
+import io.poplarwood.peer.forward.Body
+import io.poplarwood.peer.forward.BodyLost
+import io.poplarwood.peer.forward.ForwardFailure
+import io.poplarwood.peer.forward.ForwardReply
+import io.poplarwood.peer.forward.Forwarder
+import io.poplarwood.peer.message.ForwardAnswerHead
+import io.poplarwood.peer.message.ForwardHead
+import io.poplarwood.peer.message.HeaderLine
+import kotlinx.coroutines.channels.Channel
+import java.io.ByteArrayOutputStream
+import kotlin.time.Clock
+import kotlin.time.Duration
+
+/**
+ * The keys that this entry owns, and the way to the owners of others.
+ *
+ * @param links passes requests to peers
+ */
+internal class NodeKeys(
+    first: EntryRef,
+    private val store: TableStore,
+    private val members: Members,
+    private val clock: Clock,
+    private val random: Randomness,
+    private val links: () -> Forwarder?,
+) : KeyService {
+    private val table = KeyTable()
+
+    @Volatile
+    private var once = onceFor(first)
+
+    override suspend fun handle(request: KeyedRequest, ports: KeyPorts): KeyOutcome = once.handle(request, ports)
+
+    override suspend fun forward(
+        owner: EntryRef,
+        head: ForwardHead,
+        body: ByteArray,
+        timeout: Duration,
+    ): Result<KeyOutcome, ForwardFailure> {
+        val address = members.addressOf(owner) ?: return Err(ForwardFailure.NOT_SENT)
+        val forwarder = links() ?: return Err(ForwardFailure.NOT_SENT)
+        return forwarder.forward(address, head, bodyOf(body), timeout).map { outcomeOf(it) }
+    }
+
+    /** Answers a peer with [outcome]. */
+    fun reply(outcome: KeyOutcome): ForwardReply = when (outcome) {
+        is KeyOutcome.Refused -> reply(REFUSED_STATUS, listOf(HeaderLine(Headers.REASON, outcome.reason.wire)), NONE)
+        is KeyOutcome.Answered -> {
+            val answer = outcome.answer ?: return reply(KeyOutcome.Refused(NOT_KEPT))
+            reply(answer.status, answer.headers.map { HeaderLine(it.name, it.value) }, answer.body)
+        }
+    }
+
+    /** Continues under another name; keys of the former one are answered `unknown` from now on. */
+    fun rename(self: EntryRef) {
+        once = onceFor(self)
+    }
+
+    /** Drops records of keys whose lifetime is over. */
+    fun sweep() = table.sweep(nowMs())
+
+    private fun onceFor(self: EntryRef) = AtMostOnce(self, table, store, ::isGone, ::nowMs, random)
+
+    private fun isGone(ref: EntryRef): Boolean = members.addressOf(ref) == null
+
+    private fun nowMs(): Long = clock.now().toEpochMilliseconds()
+
+    private fun reply(status: Int, headers: List<HeaderLine>, body: ByteArray) =
+        ForwardReply(ForwardAnswerHead(status, headers), bodyOf(body))
+
+    private fun bodyOf(bytes: ByteArray): Body {
+        val body = Channel<ByteArray>(Channel.UNLIMITED)
+        if (bytes.isNotEmpty()) body.trySend(bytes)
+        body.close()
+        return body
+    }
+
+    private suspend fun outcomeOf(reply: ForwardReply): KeyOutcome {
+        val reason = reply.head.headers.firstOrNull { it.name == Headers.REASON }?.value
+        if (reason != null) return KeyOutcome.Refused(REASONS[reason] ?: RefusalReason.KEY_OWNER_UNREACHABLE)
+        val bytes = ByteArrayOutputStream()
+        return try {
+            for (chunk in reply.body) bytes.write(chunk)
+            val headers = reply.head.headers.map { StoredHeader(it.name, it.value) }
+            KeyOutcome.Answered(StoredAnswer(reply.head.status, headers, bytes.toByteArray()))
+        } catch (e: BodyLost) {
+            KeyOutcome.Refused(RefusalReason.KEY_OWNER_UNREACHABLE)
+        }
+    }
+
+    companion object {
+        /** A body that is forwarded whole is at most as large as one that is kept for retries. */
+        val TOO_LARGE: RefusalReason = RefusalReason.BODY_TOO_LARGE
+        private const val REFUSED_STATUS = 0
+        private val NONE = ByteArray(0)
+        private val NOT_KEPT = RefusalReason.KEY_ANSWER_NOT_KEPT
+        private val REASONS = RefusalReason.entries.associateBy { it.wire }
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/poplarwood/entry/node/NodeSettings.kt
@@ -0,0 +1,39 @@
+package io.poplarwood.entry.node
+
+import io.poplarwood.api.id.EntryId
+import io.poplarwood.api.id.Zone
+import io.poplarwood.entry.settings.HttpSettings
+import io.poplarwood.fleet.directory.Directory
+import io.poplarwood.fleet.recovery.StoreBudget
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
+
+/**
+ * Settings of one [EntryNode].
+ *
+ * @property cell name of the cell
+ * @property address IP address at which callers and peers reach this VM
+ * @property peerHost IP address that the peer listener binds to
+ * @property peerPort port of the peer listener; 0 takes any free one
+ * @property secret shared secret of the cell
+ * @property seeds peer listeners to try besides those in the VM list
+ * @property seat number of this entry below [StoreBudget.maxEntries], unique in the cell; gives it part of the probes
+ *   that do not divide evenly
+ * @property drainLimit longest time that a planned stop waits for requests in flight
+ * @property namedFor time after the start of a planned stop for which callers may still hold this entry's address
+ */
+class NodeSettings(
+    val id: EntryId,
+    val cell: String,
+    val zone: Zone,
+    val address: String,
+    val http: HttpSettings,
+    val peerHost: String,
+    val peerPort: Int,
+    val secret: ByteArray,
+    val seeds: List<String> = emptyList(),
+    val budget: StoreBudget = StoreBudget(),
+    val seat: Int? = null,
+    val drainLimit: Duration = 5.minutes,
+    val namedFor: Duration = Directory.LONGEST_LIFETIME,
+)
--- /dev/null
+++ b/entry/src/main/kotlin/io/poplarwood/entry/node/PeerInbox.kt
@@ -0,0 +1,28 @@
+package io.poplarwood.entry.node
+
+import io.poplarwood.api.time.Ticker
+import io.poplarwood.decision.crash.CrashNews
+import io.poplarwood.decision.crash.CrashTable
+import io.poplarwood.fleet.FleetRunner
+import io.poplarwood.fleet.message.Peer
+import io.poplarwood.peer.forward.Forwarder
+import io.poplarwood.peer.message.PeerMessage
+
+/** Hands messages of peers to the part that they are for. */
+internal class PeerInbox(
+    private val services: Services,
+    private val crashes: CrashTable,
+    private val ticker: Ticker,
+    private val forwards: () -> Forwarder?,
+    private val fleet: () -> FleetRunner?,
+) {
+    /** Takes in [message] from the verified peer [from]. */
+    suspend fun receive(from: Peer, message: PeerMessage) {
+        when (message) {
+            is PeerMessage.Fleet -> fleet()?.receive(from, message.message)
+            is PeerMessage.Slot -> services[message.service]?.receive(from.ref, message.message)
+            is PeerMessage.CrashNews -> crashes.merge(CrashNews(message.fingerprint, message.upstream), ticker.now())
+            else -> forwards()?.receive(from, message)
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/poplarwood/entry/node/SystemTicker.kt
@@ -0,0 +1,12 @@
+package io.poplarwood.entry.node
+
+import io.poplarwood.api.time.Ticker
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.nanoseconds
+
+/** The process's monotonic clock. */
+object SystemTicker : Ticker {
+    private val origin = System.nanoTime()
+
+    override fun now(): Duration = (System.nanoTime() - origin).nanoseconds
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/poplarwood/entry/node/UpstreamViews.kt
@@ -0,0 +1,12 @@
+package io.poplarwood.entry.node
+
+import io.poplarwood.decision.routing.UpstreamState
+import io.poplarwood.decision.routing.UpstreamView
+import io.poplarwood.fleet.upstream.FleetUpstream
+import io.poplarwood.fleet.upstream.FleetUpstreamState
+
+/** The upstream as decisions see it; a router ramps up work to one that it sees for the first time. */
+internal fun FleetUpstream.view(): UpstreamView {
+    val live = state == FleetUpstreamState.LIVE
+    return UpstreamView(id, zone, slots, connectionLimit, if (live) UpstreamState.LIVE else UpstreamState.LEAVING)
+}
--- a/fleet/src/main/kotlin/io/poplarwood/fleet/FleetNode.kt
+++ b/fleet/src/main/kotlin/io/poplarwood/fleet/FleetNode.kt
@@ -69,6 +69,9 @@
     val counters: FleetCounters
         get() = FleetCounters(parts.writer.conflicts, parts.catchUp.refusedSnapshots, parts.upstreams.doubtfulLists)
 
+    /** Sequence that [ref] last reported to have in force; -1 when it is not known. */
+    fun appliedBy(ref: EntryRef): Long = if (ref == ctx.self) applied else parts.table[ref]?.applied ?: -1
+
     /** The document of [service] in force here. */
     fun document(service: ServiceName): DocumentInForce? = parts.state[service]
 
--- a/fleet/src/main/kotlin/io/poplarwood/fleet/directory/Directory.kt
+++ b/fleet/src/main/kotlin/io/poplarwood/fleet/directory/Directory.kt
@@ -9,9 +9,9 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Tells callers which entries to use. */
-internal class Directory(private val random: Randomness) {
+class Directory internal constructor(private val random: Randomness) {
     /** Names up to [NAMED] of [members]: those in [zone] first, spread over callers by [caller]'s address. */
-    fun answer(members: List<MemberRow>, service: ServiceName, zone: Zone?, caller: String): DirectoryAnswer {
+    internal fun answer(members: List<MemberRow>, service: ServiceName, zone: Zone?, caller: String): DirectoryAnswer {
         val usable = members.filter { it.ready && it.state != MemberState.LEAVING && it.state != MemberState.GONE }
         val zones = usable.groupBy { it.zone }.mapValues { serving(service, it.value) }
         val near = order(caller, zone?.let { zones[it] }.orEmpty())
@@ -42,6 +42,9 @@
 
         /** Mean time for which an answer may be kept. */
         val LIFETIME = 30.seconds
+
+        /** Longest time for which an answer may be kept. */
+        val LONGEST_LIFETIME: Duration get() = LIFETIME * (1 + JITTER)
         private const val JITTER = 0.2
         private const val MIN_PER_ZONE = 2
         private const val TARGET_LOAD = 0.6
