--- a/bench/src/main/kotlin/io/poplarwood/bench/Benches.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/Benches.kt
@@ -2,6 +2,7 @@
 
 import io.poplarwood.bench.api.Bench
 import io.poplarwood.bench.budget.BudgetBench
+import io.poplarwood.bench.cost.DecisionCostBench
 import io.poplarwood.bench.deep.DeepBench
 import io.poplarwood.bench.flood.FloodBench
 import io.poplarwood.bench.routing.RoutingBench
@@ -16,5 +17,6 @@
         BudgetBench(),
         DeepBench(),
         SlopesBench(),
+        DecisionCostBench,
     )
 }
