--- a/bench/src/main/kotlin/io/poplarwood/bench/flood/ClassTally.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/flood/ClassTally.kt
@@ -16,6 +16,10 @@
     /** Attempts sent to upstreams. */
     var attempts = 0L
 
+    /** First attempts, and attempts after one that may have run. */
+    var firstAttempts = 0L
+    var retries = 0L
+
     /** Calls answered before their deadline. */
     val answered: Long get() = latencies.totalCount
 
--- a/decision/src/main/kotlin/io/poplarwood/decision/admission/SlotAccount.kt
+++ b/decision/src/main/kotlin/io/poplarwood/decision/admission/SlotAccount.kt
@@ -19,6 +19,7 @@
  */
 internal class SlotAccount(private val settings: DispatcherSettings, private val rounding: Double) {
     private var limit = 0
+    private var free = 0
 
     /** Upstreams that may get new work. */
     var upstreams = 0
@@ -35,10 +36,13 @@
     /** Takes in the router's view of the slots. */
     fun limits(rows: List<UpstreamRow>) {
         limit = 0
+        free = 0
         upstreams = 0
         for (row in rows) {
             if (row.state == UpstreamState.LEAVING) continue
             limit += row.limit
+            // By upstream, since an attempt without a lease at one upstream leaves the lease of another free.
+            free += max(0, row.limit - row.inFlight)
             upstreams++
         }
     }
@@ -64,6 +68,7 @@
         call.charged = q.serviceTime.mean
         q.credit = bounded(q, q.credit - call.charged)
         q.inUse++
+        free--
         q.drain.dispatched()
         inUse++
     }
@@ -75,13 +80,14 @@
         q.credit = bounded(q, q.credit + call.charged - held)
         q.inUse--
         inUse--
+        free++
     }
 
     /** True when a class of [rank] must leave the free slots to urgent work. */
     fun reservedFor(rank: Rank): Boolean {
         if (rank == Rank.URGENT || limit == 0) return false
         val reserve = floor(settings.urgentReserve * slots + rounding).toInt()
-        return slots - inUse <= reserve
+        return reserve > 0 && free <= reserve
     }
 
     /** True when [queue] holds as many slots as its class may. */
