--- a/entry/src/main/kotlin/io/poplarwood/entry/node/NodeSettings.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/node/NodeSettings.kt
@@ -22,7 +22,7 @@
  * @property drainLimit longest time that a planned stop waits for requests in flight
  * @property namedFor time after the start of a planned stop for which callers may still hold this entry's address
  */
-class NodeSettings(
+data class NodeSettings(
     val id: EntryId,
     val cell: String,
     val zone: Zone,
