--- a/bench/src/main/kotlin/io/poplarwood/bench/Benches.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/Benches.kt
@@ -1,14 +1,22 @@
 package io.poplarwood.bench
 
 import io.poplarwood.bench.api.Bench
+import io.poplarwood.bench.budget.BudgetBench
 import io.poplarwood.bench.cost.DecisionCostBench
+import io.poplarwood.bench.deep.DeepBench
+import io.poplarwood.bench.flood.FloodBench
 import io.poplarwood.bench.routing.RoutingBench
+import io.poplarwood.bench.slopes.SlopesBench
 
 /** All measurements in the order of `bench --list`. */
 object Benches {
     /** One of each. */
     val all: List<Bench> = listOf(
         RoutingBench,
+        FloodBench(),
+        BudgetBench(),
+        DeepBench(),
+        SlopesBench(),
         DecisionCostBench,
     )
 }
--- /dev/null
+++ b/entry/src/main/kotlin/io/poplarwood/entry/forward/Forwarder.kt
@@ -0,0 +1,173 @@
+package io.poplarwood.entry.forward
+
+import io.ktor.client.request.prepareRequest
+import io.ktor.client.request.setBody
+import io.ktor.client.request.url
+import io.ktor.client.statement.HttpResponse
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpMethod
+import io.ktor.utils.io.InternalAPI
+import io.poplarwood.api.http.Headers
+import io.poplarwood.api.time.Ticker
+import io.poplarwood.decision.routing.AttemptEvidence
+import io.poplarwood.decision.routing.AttemptResult
+import io.poplarwood.entry.metrics.EntryMetrics
+import io.poplarwood.entry.settings.HttpSettings
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.job
+import kotlinx.coroutines.launch
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Sends attempts to upstreams and streams their answers.
+ *
+ * @param connectionLimit connections that this entry may open to an upstream address
+ * @param probeAllowed whether the measuring budget allows a probe of an address now
+ */
+internal class Forwarder(
+    settings: HttpSettings,
+    private val ticker: Ticker,
+    private val metrics: EntryMetrics,
+    private val connectionLimit: (String) -> Int,
+    private val probeAllowed: (String) -> Boolean,
+) : AutoCloseable {
+    private val idle = settings.upstreamIdleMs.milliseconds
+    private val threads = if (settings.upstreamThreads > 0) settings.upstreamThreads else DEFAULT_THREADS
+    private val lasting = UpstreamPool(settings, idle, threads)
+    private val recent = UpstreamPool(settings, RECENT, threads)
+    private val probe = UpstreamProbe(settings)
+    private val latencies = LatencyWindow()
+    private val doubted = ConcurrentHashMap<String, Duration>()
+    private val keys = AtomicLong()
+    private lateinit var background: CoroutineScope
+    private val watch = ExchangeWatch(ticker, latencies, ::startProbe, ::foundSilent)
+
+    /** Starts the periodic work in [scope]. */
+    fun start(scope: CoroutineScope) {
+        background = scope
+        scope.launch {
+            var closed = ticker.now()
+            while (isActive) {
+                delay(TICK)
+                watch.tick()
+                if (ticker.now() - closed < RECENT) continue
+                closed = ticker.now()
+                lasting.closeExpired()
+                recent.closeExpired()
+                doubted.values.removeIf { closed - it > idle }
+            }
+        }
+    }
+
+    /**
+     * Sends [outbound] and hands an answer that ran to [deliver].
+     *
+     * [deliver] is not called when the result says that the attempt did not run or was lost before its answer.
+     */
+    suspend fun send(outbound: Outbound, deliver: suspend (UpstreamAnswer) -> Unit): AttemptEvidence {
+        val started = ticker.now()
+        val pool = if (outbound.recentOnly || doubted.containsKey(outbound.address)) recent else lasting
+        pool.limit(outbound.address, connectionLimit(outbound.address))
+        val key = keys.incrementAndGet().toString()
+        var exchange: Exchange? = null
+        var load: Load? = null
+        val result =
+            try {
+                coroutineScope {
+                    val begun = Exchange(outbound, coroutineContext.job, ticker)
+                    exchange = begun
+                    pool.interceptor.register(key, begun)
+                    watch.add(begun)
+                    request(pool, begun, key) { response ->
+                        latencies.add(outbound.latencyKey, begun.headArrived())
+                        load = Load.parse(response.headers[Headers.LOAD])
+                        take(response, deliver)
+                    }
+                }
+            } catch (e: Exception) {
+                currentCoroutineContext().ensureActive()
+                failureOf(e, exchange)
+            } finally {
+                pool.interceptor.forget(key)
+                exchange?.let(watch::remove)
+            }
+        return AttemptEvidence(result, ticker.now() - started, load?.inFlight, load?.slots)
+    }
+
+    /** Sends a probe to [address] on a fresh connection; true when an answer came. */
+    suspend fun probe(address: String): Boolean = probe.send(address).also(metrics::silenceProbe)
+
+    override fun close() {
+        lasting.close()
+        recent.close()
+        probe.close()
+    }
+
+    private fun failureOf(cause: Exception, exchange: Exchange?): AttemptResult =
+        exchange?.verdict ?: when {
+            generateSequence<Throwable>(cause) { it.cause }.any { it is CallerFault } -> AttemptResult.CANCELLED
+            exchange?.handed == true -> AttemptResult.CONNECTION_LOST
+            else -> AttemptResult.CONNECT_FAILED
+        }
+
+    private fun startProbe(address: String, done: (Boolean) -> Unit): Boolean {
+        if (!probeAllowed(address)) return false
+        background.launch { done(probe(address)) }
+        return true
+    }
+
+    /** Idle connections to the address may have lost their state as well: none of them is used again. */
+    private fun foundSilent(address: String) {
+        doubted[address] = ticker.now()
+        metrics.silentConnection()
+    }
+
+    private suspend fun <T> request(
+        pool: UpstreamPool,
+        exchange: Exchange,
+        key: String,
+        read: suspend (HttpResponse) -> T,
+    ): T {
+        val outbound = exchange.outbound
+        return pool.client.prepareRequest {
+            method = HttpMethod(outbound.method)
+            url("http://${outbound.address}/")
+            for ((name, value) in outbound.headers) headers.append(name, value)
+            headers.append(HopHeaders.EXCHANGE, key)
+            setBody(OutboundContent.of(outbound.body, exchange))
+        }.execute { read(it) }
+    }
+
+    @OptIn(InternalAPI::class)
+    private suspend fun take(response: HttpResponse, deliver: suspend (UpstreamAnswer) -> Unit): AttemptResult {
+        val status = response.status.value
+        if (status == SERVICE_UNAVAILABLE) {
+            when (response.headers[Headers.NOT_RUN]) {
+                "busy" -> return AttemptResult.BUSY
+                "draining" -> return AttemptResult.DRAINING
+            }
+        }
+        val length = response.headers[HttpHeaders.ContentLength]?.toLongOrNull()
+        deliver(UpstreamAnswer(status, response.headers, length, response.rawContent))
+        return if (status >= SERVER_ERROR) AttemptResult.SERVER_ERROR else AttemptResult.ANSWERED
+    }
+
+    private companion object {
+        const val SERVICE_UNAVAILABLE = 503
+        const val SERVER_ERROR = 500
+        const val DEFAULT_THREADS = 2
+        val TICK = 20.milliseconds
+
+        /** A connection that answered this recently has most likely not lost its state on the path. */
+        val RECENT = 1.seconds
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/poplarwood/entry/http/CallAttempts.kt
@@ -0,0 +1,114 @@
+package io.poplarwood.entry.http
+
+import io.ktor.http.HttpHeaders
+import io.ktor.server.application.ApplicationCall
+import io.poplarwood.api.outcome.Refusal
+import io.poplarwood.api.outcome.RefusalReason
+import io.poplarwood.api.time.Ticker
+import io.poplarwood.decision.dispatch.Command
+import io.poplarwood.decision.once.KeyOutcome
+import io.poplarwood.decision.once.StoredAnswer
+import io.poplarwood.decision.routing.AttemptEvidence
+import io.poplarwood.decision.routing.AttemptResult
+import io.poplarwood.entry.forward.Forwarder
+import io.poplarwood.entry.forward.HopHeaders
+import io.poplarwood.entry.forward.Outbound
+import io.poplarwood.entry.forward.RequestBody
+import io.poplarwood.entry.forward.UpstreamAnswer
+import io.poplarwood.entry.metrics.EntryMetrics
+import kotlin.time.Duration
+
+/**
+ * The attempts of one call.
+ *
+ * @param keyed whether small answers are kept for resends in place of being passed on at once
+ */
+internal class CallAttempts(
+    private val call: ApplicationCall,
+    private val inbound: Inbound,
+    private val exchange: CallerExchange,
+    private val reader: BodyReader?,
+    private val forwarder: Forwarder,
+    private val writer: AnswerWriter,
+    private val ticker: Ticker,
+    private val metrics: EntryMetrics,
+    private val keyed: Boolean,
+) {
+    private val awaitsContinue = call.request.headers[HttpHeaders.Expect].equals("100-continue", ignoreCase = true)
+    private var body: RequestBody = RequestBody.None
+    private var handed = false
+    private var kept: StoredAnswer? = null
+
+    /** True once the head of an answer went to the caller, after which no further attempt may answer. */
+    var committed: Boolean = false
+        private set
+
+    /** Takes in the body as far as it must be before the decisions see the call. Throws [BodyFailure]. */
+    suspend fun prepare() {
+        val bodyReader = reader ?: return
+        if (inbound.call.replayable) {
+            if (awaitsContinue) exchange.sendContinue()
+            body = RequestBody.Kept(bodyReader.whole())
+            return
+        }
+        if (!awaitsContinue) bodyReader.awaitStart()
+        body =
+            RequestBody.Arriving(inbound.bodyLength) { channel, progress ->
+                handed = true
+                if (awaitsContinue) exchange.sendContinue()
+                bodyReader.copyTo(channel, progress)
+            }
+    }
+
+    /** Sends the request as [dispatch] says and hands the answer to the caller. */
+    suspend fun attempt(dispatch: Command.Dispatch): AttemptEvidence {
+        // An answer that was cut after its head cannot be given again; the call ends as if its caller had gone.
+        if (committed) return AttemptEvidence(AttemptResult.CANCELLED, Duration.ZERO)
+        dispatch.retry?.let(metrics::retried)
+        val evidence =
+            forwarder.send(outbound(dispatch)) { deliver(it) }
+        metrics.attempted(evidence.result)
+        return evidence
+    }
+
+    /**
+     * The answer to give in place of the upstream's, which [refusal] names: a body that failed decides over what the
+     * decisions saw. Once part of the body was handed to a connection the request may have run.
+     */
+    fun finalRefusal(refusal: Refusal?): Refusal? {
+        val failure = reader?.failure ?: return refusal
+        metrics.refused(failure.refusal.reason)
+        return if (handed) Refusal(RefusalReason.CONNECTION_LOST) else failure.refusal
+    }
+
+    /** The body when it is at hand, empty when there is none; null when it is still arriving. */
+    fun keptBody(): ByteArray? = when (val known = body) {
+        RequestBody.None -> ByteArray(0)
+        is RequestBody.Kept -> known.bytes
+        is RequestBody.Arriving -> null
+    }
+
+    /** Headers of the request that go beyond this connection. */
+    fun endToEndHeaders(): List<Pair<String, String>> {
+        val named = HopHeaders.named(call.request.headers.getAll(HttpHeaders.Connection))
+        val headers = ArrayList<Pair<String, String>>()
+        call.request.headers.forEach { name, values ->
+            if (HopHeaders.passesToUpstream(name, named)) values.forEach { headers += name to it }
+        }
+        return headers
+    }
+
+    /** How the call ended, as resends of its key see it. */
+    fun outcome(refusal: Refusal?): KeyOutcome = outcomeOf(refusal, kept, committed)
+
+    private suspend fun deliver(answer: UpstreamAnswer) {
+        // The answer to a request with a key is read first, so that it is not lost with its caller.
+        kept = if (keyed) AnswerKeeper.keep(answer) else null
+        if (kept == null) writer.pass(call, answer, inbound.call.request, exchange) { committed = true }
+    }
+
+    private fun outbound(dispatch: Command.Dispatch): Outbound {
+        val host = call.request.headers[HttpHeaders.Host].orEmpty()
+        return inbound.outbound(dispatch, endToEndHeaders(), host, body, ticker.now())
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/poplarwood/entry/http/Inbound.kt
@@ -0,0 +1,29 @@
+package io.poplarwood.entry.http
+
+import io.poplarwood.api.id.ServiceName
+import io.poplarwood.api.work.ClassSpec
+import io.poplarwood.decision.dispatch.Call
+
+/**
+ * A caller's request after its head was accepted.
+ *
+ * @property bodyLength declared length of the body; null when it comes in chunks, 0 when there is none
+ * @property retryable whether this entry is the level that retries
+ */
+internal class Inbound(
+    val service: ServiceName,
+    val workClass: ClassSpec,
+    val call: Call,
+    val method: String,
+    val target: String,
+    val depth: Int,
+    val rank: String,
+    val bodyLength: Long?,
+) {
+    /** The same request once its whole [body] is known, which tells it from others to the same target. */
+    fun withBody(body: ByteArray?): Inbound {
+        if (body == null || body.isEmpty()) return this
+        val known = call.copy(fingerprint = RequestFingerprint.withBody(call.fingerprint, body))
+        return Inbound(service, workClass, known, method, target, depth, rank, bodyLength)
+    }
+}
