Measure and cut the overhead of the data path; test silence, limits, drain

Cause: nothing measured what the entry adds, and silent connections, limits by time, drain and warm-up had no test. The tests found five faults: answers carried Content-Length twice; an absent body of a POST went out as an empty one in chunks; a caller that left with its whole answer cancelled the attempt and lost its evidence; a planned stop could close a connection on which a request was arriving; a slow request of a class without history was taken for silent.

Change: all five are mended. The client engine runs on no pool of blocking threads (two hops fewer a call) and handlers run on their connection's event loop. ResendSpec's reset now comes after the first byte of the request: before it, not-run is the truthful answer and the test was a race; what it demands is unchanged.

--- a/entry/src/main/kotlin/io/poplarwood/entry/forward/Exchange.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/forward/Exchange.kt
@@ -16,11 +16,6 @@
     var handed: Boolean = false
         private set
 
-    /** True when the connection served an earlier request. */
-    @Volatile
-    var reused: Boolean = false
-        private set
-
     /** Reading of the ticker when the connection last showed activity. */
     @Volatile
     var lastActivity: Duration = Duration.ZERO
@@ -41,9 +36,8 @@
     var verdict: AttemptResult? = null
         private set
 
-    /** Notes that the request goes to a connection that is [reused] or fresh. */
-    fun handOver(reused: Boolean) {
-        this.reused = reused
+    /** Notes that the request goes to a connection. */
+    fun handOver() {
         lastActivity = ticker.now()
         handed = true
     }
--- a/entry/src/main/kotlin/io/poplarwood/entry/forward/ExchangeInterceptor.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/forward/ExchangeInterceptor.kt
@@ -35,11 +35,13 @@
         val key = request.getFirstHeader(HopHeaders.EXCHANGE)?.value
         request.removeHeaders(HopHeaders.EXCHANGE)
         val exchange = key?.let { exchanges[it] }
-        if (exchange != null) restore(request, exchange, scope)
-        chain.proceed(request, entityProducer, scope, asyncExecCallback)
+        if (exchange != null) restore(request, exchange)
+        // The engine would send an absent body of a POST as an empty one in chunks.
+        val body = entityProducer.takeUnless { exchange?.outbound?.body is RequestBody.None }
+        chain.proceed(request, body, scope, asyncExecCallback)
     }
 
-    private fun restore(request: HttpRequest, exchange: Exchange, scope: AsyncExecChain.Scope) {
+    private fun restore(request: HttpRequest, exchange: Exchange) {
         val outbound = exchange.outbound
         request.path = outbound.target
         request.setHeader(HttpHeaders.HOST, outbound.host)
@@ -49,7 +51,6 @@
         if (outbound.headers.none { it.first.equals(HttpHeaders.ACCEPT, ignoreCase = true) }) {
             request.removeHeaders(HttpHeaders.ACCEPT)
         }
-        val served = scope.clientContext.endpointDetails?.requestCount ?: 0
-        exchange.handOver(reused = served > 0)
+        exchange.handOver()
     }
 }
--- a/entry/src/main/kotlin/io/poplarwood/entry/forward/ExchangeWatch.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/forward/ExchangeWatch.kt
@@ -10,11 +10,11 @@
  * Runs over all exchanges that await the head of their answer: ends those past their deadline, and those whose
  * connection is silent while a fresh connection to the same upstream works.
  *
- * A request whose class usually takes long is not taken for silent before four times its recent 99th percentile. One on
- * a fresh connection is not judged while its class has no history.
+ * A request whose class usually takes long is not taken for silent before four times its recent 99th percentile, and
+ * one whose class has no history is not judged: a slow request would look the same.
  *
- * @param probe answers whether a fresh connection to an address brought an answer; null when the measuring budget
- *   allows none now
+ * @param probe finds out whether a fresh connection to an address brings an answer; false when the measuring budget
+ *   allows no probe now
  * @param silent told the address of each connection found silent
  */
 internal class ExchangeWatch(
@@ -53,9 +53,8 @@
     private fun judge(exchange: Exchange, now: Duration) {
         val quiet = now - exchange.lastActivity
         if (quiet < FIRST_DOUBT) return
-        val usual = latencies.p99(exchange.outbound.latencyKey)
-        if (usual == null && !exchange.reused) return
-        val doubt = maxOf(FIRST_DOUBT, (usual ?: Duration.ZERO) * LATENCY_FACTOR)
+        val usual = latencies.p99(exchange.outbound.latencyKey) ?: return
+        val doubt = maxOf(FIRST_DOUBT, usual * LATENCY_FACTOR)
         if (quiet < doubt) return
         val address = exchange.outbound.address
         val state = probes[address]
--- a/entry/src/main/kotlin/io/poplarwood/entry/forward/Forwarder.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/forward/Forwarder.kt
@@ -11,6 +11,8 @@
 import io.poplarwood.api.time.Ticker
 import io.poplarwood.decision.routing.AttemptEvidence
 import io.poplarwood.decision.routing.AttemptResult
+import io.poplarwood.entry.log.EventLog
+import io.poplarwood.entry.log.LogEvent
 import io.poplarwood.entry.metrics.EntryMetrics
 import io.poplarwood.entry.settings.HttpSettings
 import kotlinx.coroutines.CoroutineScope
@@ -37,6 +39,7 @@
     settings: HttpSettings,
     private val ticker: Ticker,
     private val metrics: EntryMetrics,
+    private val log: EventLog,
     private val connectionLimit: (String) -> Int,
     private val probeAllowed: (String) -> Boolean,
 ) : AutoCloseable {
@@ -90,7 +93,7 @@
                     request(pool, begun, key) { response ->
                         latencies.add(outbound.latencyKey, begun.headArrived())
                         load = Load.parse(response.headers[Headers.LOAD])
-                        take(response, deliver)
+                        take(response, outbound.address, deliver)
                     }
                 }
             } catch (e: Exception) {
@@ -129,6 +132,7 @@
     private fun foundSilent(address: String) {
         doubted[address] = ticker.now()
         metrics.silentConnection()
+        log.log(LogEvent.CONNECTION_SILENT, address)
     }
 
     private suspend fun <T> request(
@@ -148,7 +152,11 @@
     }
 
     @OptIn(InternalAPI::class)
-    private suspend fun take(response: HttpResponse, deliver: suspend (UpstreamAnswer) -> Unit): AttemptResult {
+    private suspend fun take(
+        response: HttpResponse,
+        address: String,
+        deliver: suspend (UpstreamAnswer) -> Unit,
+    ): AttemptResult {
         val status = response.status.value
         if (status == SERVICE_UNAVAILABLE) {
             when (response.headers[Headers.NOT_RUN]) {
@@ -157,7 +165,7 @@
             }
         }
         val length = response.headers[HttpHeaders.ContentLength]?.toLongOrNull()
-        deliver(UpstreamAnswer(status, response.headers, length, response.rawContent))
+        deliver(UpstreamAnswer(address, status, response.headers, length, response.rawContent))
         return if (status >= SERVER_ERROR) AttemptResult.SERVER_ERROR else AttemptResult.ANSWERED
     }
 
--- a/entry/src/main/kotlin/io/poplarwood/entry/forward/HopHeaders.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/forward/HopHeaders.kt
@@ -32,8 +32,10 @@
             Own.REQUEST_ID.lowercase(),
         )
 
+    /** Set anew on answers, or allowed on the system's own answers only. */
     private val answerOnly =
         setOf(
+            "content-length",
             Own.OUTCOME.lowercase(),
             Own.REASON.lowercase(),
             Own.RETRY_AFTER_MS.lowercase(),
--- a/entry/src/main/kotlin/io/poplarwood/entry/forward/UpstreamPool.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/forward/UpstreamPool.kt
@@ -3,6 +3,7 @@
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.apache5.Apache5
 import io.poplarwood.entry.settings.HttpSettings
+import kotlinx.coroutines.Dispatchers
 import org.apache.hc.client5.http.HttpRoute
 import org.apache.hc.client5.http.config.ConnectionConfig
 import org.apache.hc.client5.http.impl.ChainElement
@@ -38,6 +39,8 @@
             useDefaultTransformers = false
             engine {
                 followRedirects = false
+                // Nothing on this path blocks; the engine's default pool of blocking threads costs two hops a call.
+                dispatcher = Dispatchers.Unconfined
                 socketTimeout = 0
                 connectTimeout = settings.connectTimeoutMs
                 connectionRequestTimeout = settings.connectTimeoutMs
--- a/entry/src/main/kotlin/io/poplarwood/entry/http/AnswerWriter.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/http/AnswerWriter.kt
@@ -12,11 +12,12 @@
 import io.poplarwood.api.outcome.Refusal
 import io.poplarwood.entry.forward.HopHeaders
 import io.poplarwood.entry.forward.UpstreamAnswer
+import io.poplarwood.entry.log.EventLog
 import io.poplarwood.entry.metrics.EntryMetrics
 import io.poplarwood.api.http.Headers as Own
 
 /** Writes answers to callers. */
-internal class AnswerWriter(private val metrics: EntryMetrics) {
+internal class AnswerWriter(private val metrics: EntryMetrics, private val log: EventLog) {
     /** Answers with [refusal]. */
     suspend fun refuse(call: ApplicationCall, refusal: Refusal, id: RequestId) {
         val answer = RefusalAnswer(refusal, id)
@@ -43,7 +44,7 @@
             when {
                 call.request.httpMethod.value == HEAD || answer.status in BODILESS -> BodilessAnswer(status, length)
                 length != null && length <= WHOLE_BYTES -> WholeAnswer(status, readWhole(answer, length.toInt()))
-                else -> StreamedAnswer(status, answer, exchange, metrics)
+                else -> StreamedAnswer(status, answer, exchange, metrics, log)
             }
         committed()
         copyHeaders(answer.headers, call.response.headers)
--- a/entry/src/main/kotlin/io/poplarwood/entry/http/ByteWatch.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/http/ByteWatch.kt
@@ -8,13 +8,11 @@
 internal class ByteWatch : ChannelInboundHandlerAdapter() {
     private var discarding = false
 
-    /** True when bytes arrived since the last complete head. */
-    var partialHead: Boolean = false
-        private set
+    private lateinit var state: CallerConnection
 
-    /** Notes that a complete head was taken from the bytes. */
-    fun headTaken() {
-        partialHead = false
+    /** Notes in [connection] when bytes arrive. */
+    fun watch(connection: CallerConnection) {
+        state = connection
     }
 
     /** Discards everything that still arrives. */
@@ -27,7 +25,7 @@
             ReferenceCountUtil.release(msg)
             return
         }
-        partialHead = true
+        state.partialHead = state.complete >= state.started
         ctx.fireChannelRead(msg)
     }
 }
--- a/entry/src/main/kotlin/io/poplarwood/entry/http/CallHandler.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/http/CallHandler.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.getOrElse
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.netty.NettyApplicationRequest
+import io.poplarwood.api.http.Headers
 import io.poplarwood.api.id.RequestId
 import io.poplarwood.api.id.ServiceName
 import io.poplarwood.api.outcome.Refusal
@@ -10,9 +11,12 @@
 import io.poplarwood.api.time.Ticker
 import io.poplarwood.entry.forward.Forwarder
 import io.poplarwood.entry.forward.HopHeaders
+import io.poplarwood.entry.log.EventLog
+import io.poplarwood.entry.log.LogEvent
 import io.poplarwood.entry.metrics.EntryMetrics
 import io.poplarwood.entry.runtime.CallRunner
 import io.poplarwood.entry.settings.HttpSettings
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.job
 import java.util.concurrent.atomic.AtomicInteger
@@ -26,6 +30,7 @@
     private val writer: AnswerWriter,
     private val ticker: Ticker,
     private val metrics: EntryMetrics,
+    private val log: EventLog,
     private val requestIds: () -> RequestId,
 ) {
     private val running = AtomicInteger()
@@ -45,6 +50,12 @@
                 exchange.attach(coroutineContext.job)
                 answer(call, exchange)
             }
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Exception) {
+            // Without a type there is no honest answer; the caller sees its connection end.
+            log.log(LogEvent.HANDLER_FAILED, call.response.headers[Headers.REQUEST_ID], e)
+            exchange.abort()
         } finally {
             exchange.detach()
             metrics.ended()
--- a/entry/src/main/kotlin/io/poplarwood/entry/http/CallServer.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/http/CallServer.kt
@@ -16,6 +16,8 @@
 import io.poplarwood.api.time.Ticker
 import io.poplarwood.api.work.ServiceDocument
 import io.poplarwood.entry.forward.Forwarder
+import io.poplarwood.entry.log.EventLog
+import io.poplarwood.entry.log.LogEvent
 import io.poplarwood.entry.metrics.EntryMetrics
 import io.poplarwood.entry.runtime.CallRunner
 import io.poplarwood.entry.settings.HttpSettings
@@ -27,6 +29,7 @@
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * The callers' listener and the path from it to the upstreams.
@@ -46,26 +49,29 @@
     private val entryName: String = "entry",
     connectionLimit: (String) -> Int = { settings.upstreamConnections },
     probeAllowed: (String) -> Boolean = { true },
+    private val log: EventLog = EventLog(),
 ) {
     private val sequence = AtomicLong()
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val connections = CallerConnections(settings.callerConnections, metrics)
-    private val forwarder = Forwarder(settings, ticker, metrics, connectionLimit, probeAllowed)
+    private val forwarder = Forwarder(settings, ticker, metrics, log, connectionLimit, probeAllowed)
+    private val warmUp = WarmUp(forwarder, ticker)
     private val handler =
         CallHandler(
             settings = settings,
-            reader = RequestReader(settings, documents, ticker),
-            runners = runners,
+            reader = RequestReader(settings, warmUp.documents(documents), ticker),
+            runners = warmUp.runners(runners),
             forwarder = forwarder,
-            writer = AnswerWriter(metrics),
+            writer = AnswerWriter(metrics, log),
             ticker = ticker,
             metrics = metrics,
+            log = log,
             requestIds = ::nextId,
         )
     private val listener = ListenerHandle()
     private val server: EmbeddedServer<NettyApplicationEngine, NettyApplicationEngine.Configuration> =
         embeddedServer(Netty, configure = { configure() }) {
-            intercept(ApplicationCallPipeline.Call) { handler.handle(context) }
+            intercept(ApplicationCallPipeline.Call) { if (!warmUp.answer(context)) handler.handle(context) }
         }
 
     /** Port that the listener is bound to, after [start]. */
@@ -80,6 +86,18 @@
         forwarder.start(scope)
         server.startSuspend(wait = false)
         port = server.engine.resolvedConnectors().first().port
+        log.log(LogEvent.LISTENING, settings.host, port)
+    }
+
+    /**
+     * Exercises the request path against itself, over real connections, so that callers do not meet a cold one. Takes
+     * at most [limit]; returns the number of requests answered.
+     */
+    suspend fun warmUp(limit: Duration = WARM_UP): Int {
+        val started = ticker.now()
+        val answered = warmUp.run(port, limit)
+        log.log(LogEvent.WARMED_UP, answered, (ticker.now() - started).inWholeMilliseconds)
+        return answered
     }
 
     /** Asks [address] for any answer on a fresh connection; true when one came. */
@@ -87,21 +105,25 @@
 
     /**
      * Ends service without interrupting a request: serves for at least [named], while callers may still be told of this
-     * entry, asking them to close their connections; waits for the last request; then closes the listener and idle
-     * connections. Gives up after [limit].
+     * entry, asking them to close their connections; waits for the last request; then closes the listener and each
+     * connection that stays idle. Gives up after [limit].
      *
      * @return true when no request was in flight at the end
      */
     suspend fun drain(limit: Duration, named: Duration = Duration.ZERO): Boolean {
         val started = ticker.now()
+        log.log(LogEvent.DRAIN_STARTED, inFlight, limit.inWholeMilliseconds)
         connections.draining = true
         while (ticker.now() - started < limit) {
             if (inFlight == 0 && ticker.now() - started >= named) break
             delay(DRAIN_STEP)
         }
         listener.close()
-        while (inFlight > 0 && ticker.now() - started < limit) delay(DRAIN_STEP)
-        connections.closeIdle()
+        while (!connections.isEmpty && ticker.now() - started < limit) {
+            connections.closeQuiet(QUIET)
+            delay(DRAIN_STEP)
+        }
+        log.log(LogEvent.DRAIN_ENDED, inFlight, (ticker.now() - started).inWholeMilliseconds)
         return inFlight == 0
     }
 
@@ -121,6 +143,8 @@
         }
         enableHttp2 = false
         responseWriteTimeoutSeconds = 0
+        // Handlers suspend and never block, so they run on the connection's own event loop.
+        shareWorkGroup = true
         if (settings.callerThreads > 0) {
             connectionGroupSize = 1
             workerGroupSize = settings.callerThreads
@@ -159,6 +183,10 @@
     private companion object {
         const val RADIX = 36
         const val MAX_CHUNK_BYTES = 16 * 1024
+        val WARM_UP = 3.seconds
+
+        /** Longer than a request takes from a caller to its entry. */
+        val QUIET = 500.milliseconds
         val DRAIN_STEP = 10.milliseconds
     }
 }
--- a/entry/src/main/kotlin/io/poplarwood/entry/http/CallerConnection.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/http/CallerConnection.kt
@@ -31,6 +31,18 @@
     @Volatile
     var broken: Refusal? = null
 
+    /** Reading of the system's nanosecond clock when the connection last became idle. Written by the event loop. */
+    @Volatile
+    var idleSinceNanos: Long = System.nanoTime()
+
+    /** True when part of a head has arrived. Written by the event loop. */
+    @Volatile
+    var partialHead: Boolean = false
+
+    /** True when no request is in flight or arriving and none has been for [nanos]. */
+    fun isQuiet(nanos: Long): Boolean =
+        answered >= started && !partialHead && System.nanoTime() - idleSinceNanos >= nanos
+
     /** True once an answer was cut: nothing more may be written, the final chunk least of all. */
     @Volatile
     var aborted: Boolean = false
@@ -47,8 +59,13 @@
         jobs.remove(number)
     }
 
-    /** Cancels the handlers of all requests that have no answer yet. */
-    fun cancelAll() = jobs.values.forEach { it.cancel(CallerGone()) }
+    /**
+     * Cancels the handlers of all requests that have no whole answer yet. A caller that leaves with its answer has not
+     * given up, and what the attempt showed must not be lost.
+     */
+    fun cancelUnanswered() {
+        for ((number, job) in jobs) if (number > answered) job.cancel(CallerGone())
+    }
 
     /** Closes the connection so that the caller sees an answer that ends early. */
     fun abort() {
--- a/entry/src/main/kotlin/io/poplarwood/entry/http/CallerConnections.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/http/CallerConnections.kt
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration
 
 /** All open connections of callers, counted by address. */
 internal class CallerConnections(private val limit: Int, private val metrics: EntryMetrics) {
@@ -31,11 +32,14 @@
         byAddress.computeIfPresent(addressOf(channel)) { _, count -> if (count.decrementAndGet() <= 0) null else count }
     }
 
-    /** Closes every connection that has no request in flight. */
-    fun closeIdle() {
+    /** True when no connection is open. */
+    val isEmpty: Boolean get() = open.isEmpty()
+
+    /** Closes every connection that has been idle for [time]: a request may still be on its way on a younger one. */
+    fun closeQuiet(time: Duration) {
         for (channel in open) {
             val connection = channel.attr(CallerConnection.KEY).get() ?: continue
-            if (connection.answered >= connection.started) channel.close()
+            if (connection.isQuiet(time.inWholeNanoseconds)) channel.close()
         }
     }
 
--- a/entry/src/main/kotlin/io/poplarwood/entry/http/ConnectionGuard.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/http/ConnectionGuard.kt
@@ -41,11 +41,11 @@
     private lateinit var state: CallerConnection
     private var admitted = false
     private var closing = false
-    private var idleSinceNanos = 0L
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         state = CallerConnection(ctx.channel())
         ctx.channel().attr(CallerConnection.KEY).set(state)
+        bytes.watch(state)
         if (ctx.channel().isActive) admit(ctx)
     }
 
@@ -56,7 +56,7 @@
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
         connections.remove(ctx.channel())
-        state.cancelAll()
+        state.cancelUnanswered()
         ctx.fireChannelInactive()
     }
 
@@ -109,7 +109,7 @@
     }
 
     private fun begin(request: HttpRequest) {
-        bytes.headTaken()
+        state.partialHead = false
         Framing.useOriginForm(request)
         state.started++
         request.headers().set(HopHeaders.EXCHANGE, state.started)
@@ -117,7 +117,7 @@
 
     private fun ended(ctx: ChannelHandlerContext) {
         state.answered++
-        idleSinceNanos = System.nanoTime()
+        state.idleSinceNanos = System.nanoTime()
         val broken = state.broken
         when {
             closing -> lingerClose(ctx)
@@ -137,7 +137,7 @@
     private fun admit(ctx: ChannelHandlerContext) {
         if (admitted) return
         admitted = true
-        idleSinceNanos = System.nanoTime()
+        state.idleSinceNanos = System.nanoTime()
         if (connections.add(ctx.channel())) {
             watchIdle(ctx, settings.callerIdleMs)
         } else {
@@ -190,11 +190,11 @@
 
     private fun checkIdle(ctx: ChannelHandlerContext) {
         if (!ctx.channel().isActive || closing) return
-        val idleMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - idleSinceNanos)
+        val idleMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - state.idleSinceNanos)
         when {
             state.answered < state.started -> watchIdle(ctx, settings.callerIdleMs)
             idleMs < settings.callerIdleMs -> watchIdle(ctx, settings.callerIdleMs - idleMs)
-            bytes.partialHead -> breakOff(ctx, Refusal(RefusalReason.SLOW_CALLER))
+            state.partialHead -> breakOff(ctx, Refusal(RefusalReason.SLOW_CALLER))
             else -> ctx.close()
         }
     }
--- a/entry/src/main/kotlin/io/poplarwood/entry/http/StreamedAnswer.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/http/StreamedAnswer.kt
@@ -7,6 +7,8 @@
 import io.ktor.utils.io.writeFully
 import io.poplarwood.entry.forward.CallerFault
 import io.poplarwood.entry.forward.UpstreamAnswer
+import io.poplarwood.entry.log.EventLog
+import io.poplarwood.entry.log.LogEvent
 import io.poplarwood.entry.metrics.EntryMetrics
 import kotlinx.coroutines.CancellationException
 
@@ -21,6 +23,7 @@
     private val answer: UpstreamAnswer,
     private val exchange: CallerExchange,
     private val metrics: EntryMetrics,
+    private val log: EventLog,
 ) : OutgoingContent.WriteChannelContent() {
     override val contentLength: Long? = answer.length
 
@@ -62,6 +65,7 @@
     private fun cut(cause: Throwable?): Nothing {
         exchange.abort()
         metrics.cutAnswer()
+        log.log(LogEvent.ANSWER_CUT, answer.address)
         throw AnswerCut(cause)
     }
 
--- /dev/null
+++ b/entry/src/main/kotlin/io/poplarwood/entry/log/EventLog.kt
@@ -0,0 +1,22 @@
+package io.poplarwood.entry.log
+
+import net.logstash.logback.argument.StructuredArguments.keyValue
+import org.slf4j.Logger
+import org.slf4j.LoggerFactory
+
+/** Writes [LogEvent]s with their fields, readable in text and as members in JSON. */
+class EventLog(private val logger: Logger = LoggerFactory.getLogger("poplarwood")) {
+    /** Logs [event]; [values] stand in the order of its fields. */
+    fun log(event: LogEvent, vararg values: Any?) {
+        require(values.size == event.fields.size) {
+            "${event.id} takes ${event.fields.size} values, got ${values.size}"
+        }
+        if (!logger.isEnabledForLevel(event.level)) return
+        val arguments = arrayOf(keyValue("event", event.id), *arguments(event, values))
+        val message = "{} ${event.meaning}" + " {}".repeat(values.size)
+        logger.atLevel(event.level).log(message, *arguments)
+    }
+
+    private fun arguments(event: LogEvent, values: Array<out Any?>) =
+        Array(values.size) { keyValue(event.fields[it], values[it]) }
+}
--- a/entry/src/test/kotlin/io/poplarwood/entry/forward/ResendSpec.kt
+++ b/entry/src/test/kotlin/io/poplarwood/entry/forward/ResendSpec.kt
@@ -99,7 +99,10 @@
         /** Guards against not-run for a request whose bytes were handed to a connection. */
         @Test
         fun `is not said once the connection took the request`() {
-            Path(serve = { reset() }).use { path ->
+            Path(serve = {
+                read()
+                reset()
+            }).use { path ->
                 val answer = path.caller().use { it.send(post).answer() }
                 assertEquals("unknown", answer.header("Poplarwood-Outcome"))
             }
--- /dev/null
+++ b/entry/src/test/kotlin/io/poplarwood/entry/forward/SilentConnectionSpec.kt
@@ -0,0 +1,99 @@
+package io.poplarwood.entry.forward
+
+import io.poplarwood.decision.routing.AttemptResult
+import io.poplarwood.entry.http.answering
+import io.poplarwood.entry.support.Path
+import io.poplarwood.entry.support.RawCaller
+import io.poplarwood.entry.support.RawUpstream
+import io.poplarwood.entry.support.SwallowingRelay
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class SilentConnectionSpec {
+    private val get = "GET / HTTP/1.1\r\nHost: counter\r\n\r\n"
+    private val post = "POST / HTTP/1.1\r\nHost: counter\r\nContent-Length: 0\r\n\r\n"
+
+    private fun behindRelay(test: (Path, SwallowingRelay, RawUpstream) -> Unit) {
+        RawUpstream { answering("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") }.use { upstream ->
+            SwallowingRelay(upstream.address).use { relay ->
+                Path(attempts = 2, upstreamAddress = relay.address).use { path ->
+                    repeat(10) { path.caller().use { it.send(get).answer() } }
+                    repeat(10) { path.caller().use { it.send(post).answer() } }
+                    test(path, relay, upstream)
+                }
+            }
+        }
+    }
+
+    private fun timed(caller: RawCaller, request: String): Pair<RawCaller.Answer, Long> {
+        val from = System.nanoTime()
+        val answer = caller.send(request).answer()
+        return answer to (System.nanoTime() - from) / 1_000_000
+    }
+
+    @Nested
+    inner class `a connection that went silent` {
+        /** Guards against waiting out the deadline on a connection whose path has lost it. */
+        @Test
+        fun `is replaced within two seconds and an idempotent request retried`() =
+            behindRelay { path, relay, _ ->
+                relay.swallow()
+                val (answer, ms) = path.caller().use { timed(it, get) }
+                assertEquals("ok", answer.body)
+                assertTrue(ms <= 2_000, "took $ms ms")
+                assertEquals(
+                    listOf(AttemptResult.CONNECTION_SILENT, AttemptResult.ANSWERED),
+                    path.evidence(22).takeLast(2).map { it.result },
+                )
+            }
+
+        /** Guards against a second run of a request that may have run on the silent connection. */
+        @Test
+        fun `leaves a non-idempotent request unknown`() =
+            behindRelay { path, relay, upstream ->
+                val caller = path.caller()
+                caller.send(post).answer()
+
+                val before = upstream.heads.count { it.startsWith("POST") }
+                relay.swallow()
+                val (answer, ms) = timed(caller, post)
+                assertEquals("unknown", answer.header("Poplarwood-Outcome"))
+                assertEquals("connection-silent", answer.header("Poplarwood-Reason"))
+                assertTrue(ms <= 2_000, "took $ms ms")
+                assertEquals(before, upstream.heads.count { it.startsWith("POST") })
+            }
+
+        /** Guards against a non-idempotent request on a connection that has been idle long enough to be lost. */
+        @Test
+        fun `never gets a non-idempotent request after a second of idleness`() =
+            behindRelay { path, relay, _ ->
+                relay.swallow()
+                Thread.sleep(1_100)
+                val (answer, ms) = path.caller().use { timed(it, post) }
+                assertEquals("ok", answer.body)
+                assertTrue(ms < 1_000, "took $ms ms")
+            }
+    }
+
+    @Nested
+    inner class `a slow request` {
+        /** Guards against taking slow work for a silent connection. */
+        @Test
+        fun `is left alone when its class is known to be slow`() {
+            Path(serve = {
+                while (true) {
+                    val head = head() ?: break
+                    if (!head.contains("/health")) Thread.sleep(if (head.contains("/slow")) 2_300 else 600)
+                    send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+                }
+            }).use { path ->
+                path.caller().use { caller ->
+                    repeat(2) { caller.send(get).answer() }
+                    assertEquals("ok", caller.send("GET /slow HTTP/1.1\r\nHost: counter\r\n\r\n").answer().body)
+                }
+            }
+        }
+    }
+}
--- a/entry/src/test/kotlin/io/poplarwood/entry/http/CallServerSpec.kt
+++ b/entry/src/test/kotlin/io/poplarwood/entry/http/CallServerSpec.kt
@@ -25,6 +25,7 @@
                     assertEquals(200, answer.status)
                     assertEquals("hello", answer.body)
                     assertEquals("b", answer.header("X-A"))
+                    assertEquals(1, answer.head.lines().count { it.startsWith("Content-Length", ignoreCase = true) })
                     val head = path.upstream.heads.single()
                     assertContains(head, "GET /a%2Fb?c=%20d HTTP/1.1\r\n")
                     assertContains(head, "Host: counter.local\r\n")
@@ -59,6 +60,28 @@
         }
     }
 
+    @Nested
+    inner class `a request without a body` {
+        /** Guards against an absent body that goes out as an empty one in chunks. */
+        @Test
+        fun `stays without one`() {
+            Path(serve = { answering("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n") }).use { path ->
+                path.caller().use { caller ->
+                    for (method in listOf("POST", "DELETE", "GET")) {
+                        caller.send("$method / HTTP/1.1\r\nHost: counter\r\n\r\n").answer()
+                    }
+                }
+                assertFalse(
+                    path.upstream.heads.any {
+                        it.contains("Transfer-Encoding")
+                    },
+                    path.upstream.heads.toString(),
+                )
+                assertEquals(3, path.upstream.heads.size)
+            }
+        }
+    }
+
     @Nested
     inner class `a refusal` {
         /** Guards against a refusal that a caller cannot tell from an upstream's answer. */
--- /dev/null
+++ b/entry/src/test/kotlin/io/poplarwood/entry/http/DrainSpec.kt
@@ -0,0 +1,92 @@
+package io.poplarwood.entry.http
+
+import io.poplarwood.entry.support.Path
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import java.net.ConnectException
+import java.util.concurrent.CompletableFuture
+import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class DrainSpec {
+    private val upload = "POST /up HTTP/1.1\r\nHost: counter\r\nContent-Length: 100000\r\n\r\n"
+
+    private fun Path.drainAside(limit: Duration, named: Duration = Duration.ZERO) =
+        CompletableFuture.supplyAsync { runBlocking { server.drain(limit, named) } }
+
+    private fun uploads() =
+        Path(serve = {
+            while (head() != null) {
+                if (skip(100_000)) send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            }
+        })
+
+    @Nested
+    inner class `a planned stop` {
+        /** Guards against a stop that cuts an upload, or closes the listener while requests are in flight. */
+        @Test
+        fun `waits for uploads and still serves meanwhile`() {
+            uploads().use { path ->
+                val caller = path.caller().send(upload + "x".repeat(1000))
+                Thread.sleep(200)
+                val drained = path.drainAside(10.seconds)
+                Thread.sleep(200)
+                assertFalse(drained.isDone)
+                val second = path.caller().use { it.send(upload + "x".repeat(100_000)).answer() }
+                assertEquals(200, second.status)
+                assertEquals("close", second.header("Connection")?.lowercase())
+                val answer = caller.send("x".repeat(99_000)).answer()
+                assertEquals("ok", answer.body)
+                assertEquals("close", answer.header("Connection")?.lowercase())
+                assertTrue(drained.get())
+                assertFailsWith<ConnectException> { path.caller() }
+            }
+        }
+
+        /** Guards against a stop that ends while callers may still be told of the entry. */
+        @Test
+        fun `serves as long as it may be named`() {
+            uploads().use { path ->
+                val drained = path.drainAside(10.seconds, named = 500.milliseconds)
+                Thread.sleep(200)
+                assertEquals(200, path.caller().use { it.send(upload + "x".repeat(100_000)).answer() }.status)
+                assertTrue(drained.get())
+            }
+        }
+
+        /** Guards against a stop that never ends. */
+        @Test
+        fun `gives up at its bound`() {
+            uploads().use { path ->
+                val caller = path.caller().send(upload + "x".repeat(1000))
+                Thread.sleep(200)
+                assertFalse(path.drainAside(300.milliseconds).get())
+                caller.close()
+            }
+        }
+    }
+
+    @Nested
+    inner class `a warm-up` {
+        /** Guards against a warm-up that exercises nothing, or leaves its service open to callers. */
+        @Test
+        fun `answers its own requests and no one else's`() {
+            Path().use { path ->
+                assertTrue(runBlocking { path.server.warmUp(3.seconds) } > 100)
+                val answer =
+                    path.caller().use {
+                        it.send(
+                            "GET / HTTP/1.1\r\nHost: warm\r\nPoplarwood-Warm-Up: x\r\nPoplarwood-Depth: 1\r\n\r\n",
+                        ).answer()
+                    }
+                assertEquals(404, answer.status)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/test/kotlin/io/poplarwood/entry/http/LimitsSpec.kt
@@ -0,0 +1,159 @@
+package io.poplarwood.entry.http
+
+import io.poplarwood.entry.settings.HttpSettings
+import io.poplarwood.entry.support.Path
+import io.poplarwood.entry.support.awaiting
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.concurrent.thread
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class LimitsSpec {
+    private fun counted(path: Path, reason: String) =
+        assertContains(path.metrics.exposition().decodeToString(), "poplarwood_refusals_total{reason=\"$reason\"} 1.0")
+
+    @Nested
+    inner class `a caller that is slow` {
+        /** Guards against connections that hold memory while a head trickles in. */
+        @Test
+        fun `with its head is refused`() {
+            Path(HttpSettings(callerIdleMs = 300)).use { path ->
+                val text = path.caller().use { it.send("GET / HTTP/1.1\r\nHo").rest() }
+                assertTrue(text.startsWith("HTTP/1.1 408"), text)
+                counted(path, "slow-caller")
+            }
+        }
+
+        /** Guards against idle connections that are kept for good, and an answer nobody asked for on them. */
+        @Test
+        fun `to ask again loses its connection`() {
+            Path(HttpSettings(callerIdleMs = 300)).use { path -> assertEquals("", path.caller().use { it.rest() }) }
+        }
+
+        /** Guards against a body that never ends and holds a slot meanwhile. */
+        @Test
+        fun `with its body is refused before anything runs`() {
+            Path(HttpSettings(bodyStallMs = 200)).use { path ->
+                val head = "POST / HTTP/1.1\r\nHost: counter\r\nContent-Length: 10\r\n\r\n"
+                val answer = path.caller().use { it.send(head + "abc").answer() }
+                assertEquals(408, answer.status)
+                assertEquals("not-run", answer.header("Poplarwood-Outcome"))
+                assertEquals(emptyList(), path.upstream.heads)
+                counted(path, "slow-caller")
+            }
+        }
+
+        /** Guards against an upload that stalls at the upstream, and against calling it not run. */
+        @Test
+        fun `in the middle of an upload leaves it unknown`() {
+            Path(HttpSettings(bodyStallMs = 300), serve = { drain() }).use { path ->
+                val head = "POST /up HTTP/1.1\r\nHost: counter\r\nContent-Length: 100000\r\n\r\n"
+                val answer = path.caller().use { it.send(head + "abc").answer() }
+                assertEquals("unknown", answer.header("Poplarwood-Outcome"))
+                counted(path, "slow-caller")
+                awaiting("close of the upload's connection") { path.upstream.connections.all { it.socket.isClosed } }
+            }
+        }
+    }
+
+    @Nested
+    inner class `an address` {
+        /** Guards against one caller that takes all connections, and a count that never goes down again. */
+        @Test
+        fun `gets no more than its connections`() {
+            Path(HttpSettings(callerConnections = 2)).use { path ->
+                val held = List(2) { path.caller().also { it.send("GET / HTTP/1.1\r\nHost: none\r\n\r\n").answer() } }
+                val text = path.caller().use { it.rest() }
+                assertTrue(text.startsWith("HTTP/1.1 429"), text)
+                counted(path, "caller-connections")
+                held.forEach { it.close() }
+                awaiting("room for another connection") {
+                    path.caller().use { it.send("GET / HTTP/1.1\r\nHost: none\r\n\r\n").answer().status == 404 }
+                }
+            }
+        }
+    }
+
+    @Nested
+    inner class `a large body` {
+        /** Guards against an upload that is held in memory while its upstream does not read. */
+        @Test
+        fun `is not taken faster than its upstream takes it`() {
+            Path(serve = {
+                head()
+                Thread.sleep(10_000)
+            }).use { path ->
+                val sent = AtomicLong()
+                val caller = path.caller()
+                caller.send("POST /up HTTP/1.1\r\nHost: counter\r\nContent-Length: 400000000\r\n\r\n")
+                thread(isDaemon = true) { runCatching { pour(sent) { caller.send(it) } } }
+                assertBounded(sent)
+                caller.close()
+            }
+        }
+
+        /** Guards against an answer that is held in memory while its caller does not read. */
+        @Test
+        fun `is not taken faster than its caller takes it`() {
+            val sent = AtomicLong()
+            Path(serve = {
+                head()
+                send("HTTP/1.1 200 OK\r\nContent-Length: 400000000\r\n\r\n")
+                pour(sent) {
+                    socket.getOutputStream().write(it)
+                }
+            }).use { path ->
+                path.caller().use {
+                    it.send("GET / HTTP/1.1\r\nHost: counter\r\n\r\n")
+                    assertBounded(sent)
+                }
+            }
+        }
+
+        /** Guards against bytes that are lost or changed in a body that is larger than every buffer. */
+        @Test
+        fun `of 200 MB passes whole in both directions`() {
+            val size = 200_000_000L
+            Path(serve = {
+                head()
+                if (skip(size)) {
+                    send("HTTP/1.1 200 OK\r\nContent-Length: $size\r\n\r\n")
+                    pour(AtomicLong(), size) { socket.getOutputStream().write(it) }
+                }
+                drain()
+            }).use { path ->
+                path.caller(60_000).use { caller ->
+                    caller.send("POST /up HTTP/1.1\r\nHost: counter\r\nContent-Length: $size\r\n\r\n")
+                    pour(AtomicLong(), size) { caller.send(it) }
+                    assertEquals(200, caller.answer { 0 }.status)
+                    assertEquals(size, caller.count(size))
+                }
+            }
+        }
+
+        private fun pour(sent: AtomicLong, size: Long = 400_000_000, write: (ByteArray) -> Unit) {
+            val block = ByteArray(100_000)
+            while (sent.get() < size) {
+                write(block)
+                sent.addAndGet(block.size.toLong())
+            }
+        }
+
+        private fun assertBounded(sent: AtomicLong) {
+            var last = -1L
+            while (sent.get() != last || last == 0L) {
+                last = sent.get()
+                Thread.sleep(300)
+            }
+            assertTrue(sent.get() < BUFFERS, "${sent.get()} bytes taken")
+        }
+    }
+
+    private companion object {
+        /** Socket buffers of four loopback ends at their largest, with room for those of the engines. */
+        const val BUFFERS = 40_000_000L
+    }
+}
--- /dev/null
+++ b/entry/src/test/kotlin/io/poplarwood/entry/log/LogEventSpec.kt
@@ -0,0 +1,45 @@
+package io.poplarwood.entry.log
+
+import ch.qos.logback.classic.Logger
+import ch.qos.logback.classic.spi.ILoggingEvent
+import ch.qos.logback.core.read.ListAppender
+import org.junit.jupiter.api.Test
+import org.slf4j.LoggerFactory
+import java.io.File
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class LogEventSpec {
+    /** Guards against events that are missing from the page, or stay there after they are gone. */
+    @Test
+    fun `is listed on its page`() {
+        val rows = File("../docs/events.md").readLines().filter { it.startsWith("| PW-") }
+        val events =
+            LogEvent.entries.map {
+                "| ${it.id} | ${it.level} | ${it.meaning} | ${it.fields.joinToString { f ->
+                    "`$f`"
+                }} |"
+            }
+        assertEquals(events, rows)
+    }
+
+    /** Guards against two events of one number, or one outside the ranges. */
+    @Test
+    fun `has a number of its own`() {
+        assertEquals(LogEvent.entries.size, LogEvent.entries.map { it.number }.toSet().size)
+        assertTrue(LogEvent.entries.all { it.number in 1000..5999 })
+    }
+
+    /** Guards against a record that lacks its number or its values. */
+    @Test
+    fun `carries its number and fields`() {
+        val logger = LoggerFactory.getLogger("spec") as Logger
+        val seen = ListAppender<ILoggingEvent>().apply { start() }
+        logger.addAppender(seen)
+        EventLog(logger).log(LogEvent.LISTENING, "127.0.0.1", 80)
+        assertEquals(
+            "event=PW-1001 the callers' listener accepts connections host=127.0.0.1 port=80",
+            seen.list.single().formattedMessage,
+        )
+    }
+}
--- a/entry/src/test/kotlin/io/poplarwood/entry/support/RawCaller.kt
+++ b/entry/src/test/kotlin/io/poplarwood/entry/support/RawCaller.kt
@@ -49,6 +49,18 @@
         return Answer(head.toString(), body.toString(Charsets.ISO_8859_1))
     }
 
+    /** Reads and drops up to [size] bytes; returns how many came. */
+    fun count(size: Long): Long {
+        val buffer = ByteArray(65536)
+        var total = 0L
+        while (total < size) {
+            val read = input.read(buffer, 0, minOf(buffer.size.toLong(), size - total).toInt())
+            if (read < 0) break
+            total += read
+        }
+        return total
+    }
+
     override fun close() = socket.close()
 
     class Answer(val head: String, val body: String) {
--- /dev/null
+++ b/entry/src/test/kotlin/io/poplarwood/entry/support/SwallowingRelay.kt
@@ -0,0 +1,58 @@
+package io.poplarwood.entry.support
+
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.concurrent.thread
+
+/** Relays connections to an upstream; [swallow] makes those that are open silent for good while new ones work. */
+internal class SwallowingRelay(private val upstream: String) : AutoCloseable {
+    private val listener = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
+    private val pairs = CopyOnWriteArrayList<Pair>()
+    val address: String = "127.0.0.1:${listener.localPort}"
+
+    init {
+        thread(isDaemon = true) {
+            while (!listener.isClosed) pairs += Pair(runCatching { listener.accept() }.getOrNull() ?: break)
+        }
+    }
+
+    /** Discards everything on the connections that are open now. */
+    fun swallow() = pairs.forEach { it.silent = true }
+
+    override fun close() {
+        listener.close()
+        pairs.forEach { it.close() }
+    }
+
+    private inner class Pair(private val near: Socket) {
+        private val far = Socket("127.0.0.1", upstream.substringAfter(':').toInt())
+
+        @Volatile
+        var silent = false
+
+        init {
+            pump(near, far)
+            pump(far, near)
+        }
+
+        fun close() {
+            near.close()
+            far.close()
+        }
+
+        private fun pump(from: Socket, to: Socket) =
+            thread(isDaemon = true) {
+                runCatching {
+                    val buffer = ByteArray(4096)
+                    while (true) {
+                        val read = from.getInputStream().read(buffer)
+                        if (read < 0) break
+                        if (!silent) to.getOutputStream().write(buffer, 0, read)
+                    }
+                    if (!silent) to.close()
+                }
+            }
+    }
+}
