--- a/bench/src/main/kotlin/io/poplarwood/bench/Benches.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/Benches.kt
@@ -5,6 +5,7 @@
 import io.poplarwood.bench.cost.DecisionCostBench
 import io.poplarwood.bench.deep.DeepBench
 import io.poplarwood.bench.flood.FloodBench
+import io.poplarwood.bench.overhead.OverheadBench
 import io.poplarwood.bench.routing.RoutingBench
 import io.poplarwood.bench.slopes.SlopesBench
 
@@ -15,6 +16,7 @@
         RoutingBench,
         FloodBench(),
         BudgetBench(),
+        OverheadBench(),
         DeepBench(),
         SlopesBench(),
         DecisionCostBench,
