Add the command line

Cause: operators and developers work through one command. The load generator sent empty bodies at first, because a name inside the request builder hid its own field; its test found that.

--- a/bench/src/main/kotlin/io/poplarwood/bench/load/LoadCaller.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/load/LoadCaller.kt
@@ -28,7 +28,7 @@
     private val ticker: Ticker,
     private val statistics: LoadStatistics,
 ) {
-    private val body = Pattern.bytes(of.name, 0, of.bodyBytes)
+    private val upload = Pattern.bytes(of.name, 0, of.bodyBytes)
     private val digest = Pattern.digest(of.name, of.bodyBytes.toLong())
 
     /** Sends request [token], which was due at [due]. A refused connection is tried at another entry. */
@@ -44,7 +44,7 @@
                 book.unreachable(entry)
             } catch (_: ConnectTimeoutException) {
                 book.unreachable(entry)
-            } catch (e: IOException) {
+            } catch (_: IOException) {
                 statistics.ended("unknown", "entry-connection-lost")
                 return
             }
@@ -59,7 +59,7 @@
         header(StandInHeaders.TOKEN, token)
         header(StandInHeaders.WORK_MS, of.work.inWholeMicroseconds / MICROS_PER_MILLI)
         if (of.keyed) header(Headers.IDEMPOTENCY_KEY, entry.keyPrefix + token)
-        if (of.bodyBytes > 0) setBody(body)
+        if (of.bodyBytes > 0) setBody(upload)
     }
 
     private fun judge(response: HttpResponse, bytes: ByteArray, token: String, due: Duration) {
--- /dev/null
+++ b/cli/src/main/kotlin/io/poplarwood/cli/command/ClassesCommand.kt
@@ -0,0 +1,10 @@
+package io.poplarwood.cli.command
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+
+internal class ClassesCommand : CliktCommand("classes") {
+    override fun help(context: Context) = "Shows and changes the classes of work and their targets."
+
+    override fun run() = Unit
+}
