Measure configuration in virtual time and close two gaps it showed

Change: an entry outside the view takes work only while its store access fails; acknowledgements count only when a change of the view is 3 s old; runs known to have ended are left out of the majority for acceptance and for changes of the view.

--- a/fleet/src/main/kotlin/io/poplarwood/fleet/NodeParts.kt
+++ b/fleet/src/main/kotlin/io/poplarwood/fleet/NodeParts.kt
@@ -16,6 +16,7 @@
 import io.poplarwood.fleet.message.Digest
 import io.poplarwood.fleet.message.FleetMessage
 import io.poplarwood.fleet.message.Peer
+import io.poplarwood.fleet.recovery.NaiveRecovery
 import io.poplarwood.fleet.snapshot.SnapshotWriter
 import io.poplarwood.fleet.upstream.UpstreamNewsRow
 import io.poplarwood.fleet.upstream.UpstreamTable
@@ -39,6 +40,7 @@
     val writer = ConfigWriter(ctx, state, { catchUp.behind }, watch::readNow, tracker::committed)
     private val viewKeeper = ViewKeeper(ctx, table, state, watch::confirm, writer::submitView)
     private val snapshots = SnapshotWriter(ctx, state)
+    private val naive = if (ctx.settings.limited) null else NaiveRecovery(ctx, state, watch::storeDown)
     private val vmWatch = VmWatch(ctx, table, ::listed)
 
     fun tick(now: Duration) {
@@ -54,6 +56,7 @@
         viewKeeper.tick(now)
         vmWatch.tick(now)
         upstreams.tick(now)
+        naive?.tick(now)
     }
 
     /** Takes in the row of the sender of a digest. Returns true when it says that this run is gone. */
--- a/fleet/src/main/kotlin/io/poplarwood/fleet/config/FleetView.kt
+++ b/fleet/src/main/kotlin/io/poplarwood/fleet/config/FleetView.kt
@@ -10,10 +10,18 @@
  */
 @Serializable
 data class FleetView(val version: Long, val members: List<EntryRef>, val previous: List<EntryRef> = emptyList()) {
-    /** True when [heard] holds a majority of the members and, unless there were none, of the previous members. */
-    fun majority(heard: Set<EntryRef>): Boolean =
-        covers(members, heard) && (previous.isEmpty() || covers(previous, heard))
+    /**
+     * True when [heard] holds a majority of the members and, unless there were none, of the previous members.
+     *
+     * Runs in [ended] are left out of the count. They hold nothing that could still be asked for, and every majority
+     * that anyone can hear is one of the rest. Only what the store has decided may be counted so: a reading of the
+     * head without the store must not, as an ended run may have been the one that knew of a change.
+     */
+    fun majority(heard: Set<EntryRef>, ended: Set<EntryRef> = emptySet()): Boolean =
+        covers(members, heard, ended) && (previous.isEmpty() || covers(previous, heard, ended))
 
-    private fun covers(group: List<EntryRef>, heard: Set<EntryRef>): Boolean =
-        group.count { it in heard } * 2 > group.size
+    private fun covers(group: List<EntryRef>, heard: Set<EntryRef>, ended: Set<EntryRef>): Boolean {
+        val left = group.filter { it !in ended }
+        return left.isEmpty() || left.count { it in heard } * 2 > left.size
+    }
 }
--- a/fleet/src/main/kotlin/io/poplarwood/fleet/config/HeadWatch.kt
+++ b/fleet/src/main/kotlin/io/poplarwood/fleet/config/HeadWatch.kt
@@ -27,7 +27,7 @@
     private var askedAt = -Duration.INFINITE
     private var round: QuorumRound? = null
     private val roundPings = HashSet<Long>()
-    private var afterRound: ((QuorumRound) -> Unit)? = null
+    private var afterRound: ((QuorumRound) -> Boolean)? = null
 
     /** True when the last operation on the store failed. */
     var storeDown = false
@@ -50,8 +50,8 @@
         if (!reading) readStore(ctx.now)
     }
 
-    /** Runs a round and calls [then] if a majority answers; used before the view changes. */
-    fun confirm(then: (QuorumRound) -> Unit) {
+    /** Runs a round and calls [then] after every answer until it returns true; used before the view changes. */
+    fun confirm(then: (QuorumRound) -> Boolean) {
         if (round != null) return
         afterRound = then
         startRound(ctx.now)
@@ -107,13 +107,16 @@
     }
 
     private fun settleRound() {
-        val ended = round ?: return
-        val sequence = ended.sequence() ?: return
+        val current = round ?: return
+        val sequence = current.sequence()
+        sequence?.let { freshness.read(it, current.startedAt, state.applied) }
         val then = afterRound
-        freshness.read(sequence, ended.startedAt, state.applied)
-        endRound()
-        then?.invoke(ended)
-        if (then == null) state.view?.let { v -> members(v).forEach { prober.ping(ctx.now, it, decides = false) } }
+        if (then != null) {
+            if (then(current)) endRound()
+        } else if (sequence != null) {
+            endRound()
+            state.view?.let { v -> members(v).forEach { prober.ping(ctx.now, it, decides = false) } }
+        }
     }
 
     private fun endRound() {
--- a/fleet/src/main/kotlin/io/poplarwood/fleet/config/InForceTracker.kt
+++ b/fleet/src/main/kotlin/io/poplarwood/fleet/config/InForceTracker.kt
@@ -16,7 +16,8 @@
  *
  * A batch is accepted once a majority of the view has it. It is in force everywhere once every member has it, or
  * [Freshness.FRESH_FOR] after acceptance: an entry without it has no reading from after the acceptance then, and so is
- * not fresh.
+ * not fresh. An entry that a change of the view removed may be fresh for as long after that change was accepted, so
+ * acknowledgements count only after that time.
  */
 internal class InForceTracker(
     private val ctx: NodeContext,
@@ -24,6 +25,8 @@
     private val state: ConfigState,
     private val everywhere: (Spread) -> Unit,
 ) {
+    private var settledView = 0L
+    private var viewSettledAt = Duration.INFINITE
     private val spreads = LinkedHashMap<Long, Spread>()
 
     fun committed(p: PendingBatch) {
@@ -54,11 +57,12 @@
     }
 
     private fun settle(now: Duration) {
+        watchView(now)
         val done = ArrayList<Spread>()
         for (spread in spreads.values) {
             if (spread.acceptedAt == null) accept(spread, now)
             val accepted = spread.acceptedAt
-            if (accepted != null && (now - accepted >= WAIT_FOR_SILENT || allHave(spread))) done += spread
+            if (accepted != null && (now - accepted >= WAIT_FOR_SILENT || allHave(spread, now))) done += spread
         }
         spreads.values.removeAll { it.acceptedAt == null && now - it.committedAt >= FORGET_AFTER }
         done.forEach { spread ->
@@ -72,7 +76,7 @@
     private fun accept(spread: Spread, now: Duration) {
         val holders = spread.acknowledged + ctx.self
         val view = state.view
-        if (view != null && !view.majority(holders)) {
+        if (view != null && !view.majority(holders, table.ended())) {
             if (!spread.unconfirmed && now - spread.committedAt >= UNCONFIRMED_AFTER) {
                 spread.unconfirmed = true
                 settled(spread) { ChangeResult.Unconfirmed(it.version, spread.batch.sequence) }
@@ -86,7 +90,21 @@
     private fun settled(spread: Spread, result: (ConfigChange) -> ChangeResult) =
         spread.batch.changes.forEach { ctx.tell(FleetEvent.ChangeSettled(it.changeId, result(it))) }
 
-    private fun allHave(spread: Spread): Boolean =
+    /** Notes when a majority of the view and of the one before was first seen to have the view. */
+    private fun watchView(now: Duration) {
+        val view = state.view ?: return
+        if (settledView == view.version) return
+        viewSettledAt = Duration.INFINITE
+        val holders = table.others.filter { it.applied >= state.viewSequence }.mapTo(HashSet()) { it.row.ref }
+        if (!view.majority(holders + ctx.self, table.ended())) return
+        settledView = view.version
+        viewSettledAt = now
+    }
+
+    private fun allHave(spread: Spread, now: Duration): Boolean =
+        now - viewSettledAt >= WAIT_FOR_SILENT && membersHave(spread)
+
+    private fun membersHave(spread: Spread): Boolean =
         table.present().all { it.row.ref in spread.acknowledged } &&
             state.view?.members.orEmpty().all { it == ctx.self || it in spread.acknowledged }
 
--- a/fleet/src/main/kotlin/io/poplarwood/fleet/config/QuorumRound.kt
+++ b/fleet/src/main/kotlin/io/poplarwood/fleet/config/QuorumRound.kt
@@ -22,8 +22,9 @@
     /** Largest sequence reported, once a majority has answered. */
     fun sequence(): Long? = if (view.majority(heard.keys)) heard.values.max() else null
 
-    /** True when a majority has at least [sequence] in force. */
-    fun confirms(sequence: Long): Boolean = view.majority(heard.filterValues { it >= sequence }.keys)
+    /** True when a majority of the runs that have not [ended] has at least [sequence] in force. */
+    fun confirms(sequence: Long, ended: Set<EntryRef>): Boolean =
+        view.majority(heard.filterValues { it >= sequence }.keys, ended)
 
     fun expired(now: Duration): Boolean = now - startedAt >= TIMEOUT
 
--- a/fleet/src/main/kotlin/io/poplarwood/fleet/config/ViewKeeper.kt
+++ b/fleet/src/main/kotlin/io/poplarwood/fleet/config/ViewKeeper.kt
@@ -17,7 +17,7 @@
     private val ctx: NodeContext,
     private val table: MemberTable,
     private val state: ConfigState,
-    private val confirm: ((QuorumRound) -> Unit) -> Unit,
+    private val confirm: ((QuorumRound) -> Boolean) -> Unit,
     private val write: (FleetView) -> Unit,
 ) {
     private var wanted: List<EntryRef> = emptyList()
@@ -44,7 +44,9 @@
         } else {
             val sequence = state.viewSequence
             confirm { round ->
-                if (round.confirms(sequence)) write(FleetView(current.version + 1, members, current.members))
+                round.confirms(sequence, table.ended()).also { confirmed ->
+                    if (confirmed) write(FleetView(current.version + 1, members, current.members))
+                }
             }
         }
     }
--- a/fleet/src/main/kotlin/io/poplarwood/fleet/membership/MemberTable.kt
+++ b/fleet/src/main/kotlin/io/poplarwood/fleet/membership/MemberTable.kt
@@ -23,6 +23,13 @@
     /** Rows of others that are not gone. */
     fun present(): List<Member> = members.values.filter { it.row.state != MemberState.GONE }
 
+    /** Gone runs that are known to have ended: they said so, or another run has their name. */
+    fun ended(): Set<EntryRef> {
+        val running = present().mapTo(HashSet()) { it.row.ref.id } + self.ref.id
+        return members.values.filter { it.goneAt != null && (it.ended || it.row.ref.id in running) }
+            .mapTo(HashSet()) { it.row.ref }
+    }
+
     fun updateSelf(change: (MemberRow) -> MemberRow) {
         val next = change(self)
         if (next == self) return
--- a/fleet/src/main/kotlin/io/poplarwood/fleet/virtual/StoreLoad.kt
+++ b/fleet/src/main/kotlin/io/poplarwood/fleet/virtual/StoreLoad.kt
@@ -7,6 +7,10 @@
     private val reads = HashMap<Long, Int>()
     private val writes = HashMap<Long, Int>()
 
+    /** Operations that were served after their client had given up. */
+    var late = 0
+        internal set
+
     internal fun count(at: Duration, reads: Int, writes: Int) {
         this.reads.merge(at.inWholeSeconds, reads, Int::plus)
         this.writes.merge(at.inWholeSeconds, writes, Int::plus)
--- a/fleet/src/main/kotlin/io/poplarwood/fleet/virtual/VirtualStore.kt
+++ b/fleet/src/main/kotlin/io/poplarwood/fleet/virtual/VirtualStore.kt
@@ -60,6 +60,7 @@
         val lost = random.nextDouble() < lostAnswers
         val applied = !lost || random.nextDouble() < HALF
         val timedOut = turn + latency >= TIMEOUT
+        if (timedOut) load.late++
         timeline.after(turn) {
             val answer = if (applied) apply(operation) else null
             if (!timedOut && !lost && answer != null) timeline.after(latency / 2) { then(answer) }
--- a/fleet/src/test/kotlin/io/poplarwood/fleet/OutageSpec.kt
+++ b/fleet/src/test/kotlin/io/poplarwood/fleet/OutageSpec.kt
@@ -70,6 +70,28 @@
         }
     }
 
+    @Nested
+    inner class `an entry cut off from its peers but not from the store` {
+        @Test
+        fun `takes no work without a change that was reported in force everywhere`() {
+            // Guards against the entry's removal from the view: changes then no longer wait for it.
+            var reported = 0L
+            val cell = VirtualCell(seed = 6, size = 7, onEvent = { _, e ->
+                if (e is FleetEvent.InForceEverywhere) reported = maxOf(reported, e.sequence)
+            })
+            var wrong = 0
+            cell.afterInput = { if (it.takesWork && it.node.applied < reported) wrong++ }
+            cell.run(15.seconds)
+            cell.entries[6].cutOff = true
+            repeat(100) { i ->
+                cell.input(cell.entries[i % 6]) { change(request("c$i", expected = i.toLong())) }
+                cell.run(800.milliseconds)
+            }
+            assertTrue(reported > 90, "only $reported were reported")
+            assertEquals(0, wrong)
+        }
+    }
+
     @Nested
     inner class `an entry that was paused` {
         @Test
