--- a/bench/src/main/kotlin/io/poplarwood/bench/Benches.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/Benches.kt
@@ -2,6 +2,7 @@
 
 import io.poplarwood.bench.api.Bench
 import io.poplarwood.bench.budget.BudgetBench
+import io.poplarwood.bench.config.ConfigBench
 import io.poplarwood.bench.cost.DecisionCostBench
 import io.poplarwood.bench.deep.DeepBench
 import io.poplarwood.bench.flood.FloodBench
@@ -17,6 +18,7 @@
         FloodBench(),
         BudgetBench(),
         OverheadBench(),
+        ConfigBench(),
         DeepBench(),
         SlopesBench(),
         DecisionCostBench,
