Connect the demo to the entry

Cause: main has EntryDaemon and runEntry. Change: the demo starts entries on any free port, each with the ones before it as seeds; the caller waits until entries are ready and asks again when none is named. Answers that entries pass on carry Content-Length twice, so callers reject them and count them as wrong. Conclusion: the fault is in the data path and is looked at next.

--- a/bench/src/main/kotlin/io/poplarwood/bench/demo/Demo.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/demo/Demo.kt
@@ -32,7 +32,7 @@
  */
 class Demo(
     private val factory: EntryFactory,
-    private val directory: Path,
+    directory: Path,
     private val ticker: Ticker,
     private val seed: Long,
     private val note: (String) -> Unit,
@@ -41,7 +41,7 @@
     private val server = PlatformServer(platform)
     private val upstreams = mutableListOf<StandInUpstream>()
     private val entries = mutableListOf<RunningEntry>()
-    private val places = DemoPlaces(directory, ENTRIES)
+    private val places = DemoPlaces(directory)
 
     /** Sends load for [duration], stops everything and reports. */
     suspend fun run(duration: Duration): DemoReport =
@@ -56,8 +56,11 @@
     private suspend fun start() {
         server.start()
         startUpstreams()
-        repeat(ENTRIES) { entries += factory.start(places.settings(it, server.address)) }
-        note("${entries.size} entries and ${upstreams.size} upstreams run on loopback")
+        repeat(ENTRIES) {
+            entries += factory.start(places.settings(server.address, entries.map { it.peersAddress }))
+        }
+        entries.forEach { awaitReady(it) }
+        note("${upstreams.size} upstreams; entries at ${entries.joinToString { it.callersAddress }}")
         client().use { client -> DemoScenario.documents.forEach { accept(client, it) } }
         note("the classes of ${DemoScenario.documents.size} services are in force")
     }
@@ -73,6 +76,16 @@
         }
     }
 
+    private suspend fun awaitReady(entry: RunningEntry) {
+        val until = ticker.now() + READY_WITHIN
+        OperatorClient(listOf(entry.operatorsAddress), places.token).use { client ->
+            while (client.ready().get()?.ready != true) {
+                check(ticker.now() < until) { "the entry at ${entry.callersAddress} is not ready: ${client.ready()}" }
+                delay(ASK_AGAIN)
+            }
+        }
+    }
+
     /** An entry that has only just joined refuses changes for a moment, so this asks again for a while. */
     private suspend fun accept(client: OperatorClient, document: ServiceDocument) {
         val until = ticker.now() + ACCEPT_WITHIN
@@ -127,6 +140,7 @@
     private companion object {
         const val ENTRIES = 3
         val ACCEPT_WITHIN = 30.seconds
+        val READY_WITHIN = 30.seconds
         val ASK_AGAIN = 250.milliseconds
         val CRASHED = 2.seconds
     }
--- a/bench/src/main/kotlin/io/poplarwood/bench/demo/RunningEntry.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/demo/RunningEntry.kt
@@ -8,6 +8,9 @@
     /** `ip:port` for operators. */
     val operatorsAddress: String
 
+    /** `ip:port` for other entries. */
+    val peersAddress: String
+
     /** Stops gracefully. */
     suspend fun stop()
 }
--- a/bench/src/main/kotlin/io/poplarwood/bench/load/EntryBook.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/load/EntryBook.kt
@@ -43,7 +43,7 @@
         for (address in entries.map { it.address } + known) {
             val answer = ask(address) ?: continue
             entries = answer.entries
-            until = ticker.now() + answer.lifetimeMs.milliseconds
+            until = ticker.now() + if (entries.isEmpty()) ASK_AGAIN else answer.lifetimeMs.milliseconds
             return
         }
         until = ticker.now() + ASK_AGAIN
--- a/bench/src/main/kotlin/io/poplarwood/bench/load/LoadCaller.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/load/LoadCaller.kt
@@ -16,6 +16,7 @@
 import io.poplarwood.standins.upstream.StandInHeaders
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import org.apache.hc.core5.http.HttpException
 import java.io.IOException
 import java.net.ConnectException
 import kotlin.time.Duration
@@ -44,6 +45,10 @@
                 book.unreachable(entry)
             } catch (_: ConnectTimeoutException) {
                 book.unreachable(entry)
+            } catch (_: HttpException) {
+                // The answer is not well-formed HTTP.
+                statistics.wrong()
+                return
             } catch (_: IOException) {
                 statistics.ended("unknown", "entry-connection-lost")
                 return
--- /dev/null
+++ b/cli/src/main/kotlin/io/poplarwood/cli/DemoEntry.kt
@@ -0,0 +1,26 @@
+package io.poplarwood.cli
+
+import io.poplarwood.bench.demo.EntryFactory
+import io.poplarwood.bench.demo.RunningEntry
+import io.poplarwood.entry.EntryDaemon
+import kotlin.time.Duration
+
+/** An entry of the demo, stopped only when no caller is left. */
+internal class DemoEntry(private val daemon: EntryDaemon) : RunningEntry {
+    override val callersAddress: String get() = daemon.callersAddress
+    override val operatorsAddress: String get() = daemon.operatorsAddress
+    override val peersAddress: String get() = daemon.peersAddress
+
+    override suspend fun stop() {
+        daemon.drain()
+    }
+
+    companion object {
+        /** Starts entries that need not wait for callers to forget them. */
+        val factory = EntryFactory { settings ->
+            val daemon = EntryDaemon(settings, namedFor = Duration.ZERO)
+            daemon.start()
+            DemoEntry(daemon)
+        }
+    }
+}
--- a/cli/src/main/kotlin/io/poplarwood/cli/Main.kt
+++ b/cli/src/main/kotlin/io/poplarwood/cli/Main.kt
@@ -1,8 +1,9 @@
 package io.poplarwood.cli
 
+import io.poplarwood.entry.runEntry
 import kotlin.system.exitProcess
 
 /** Starts the command line. */
 fun main(args: Array<String>) {
-    exitProcess(CommandLine(Wiring()).run(args.toList()))
+    exitProcess(CommandLine(Wiring(::runEntry, DemoEntry.factory)).run(args.toList()))
 }
--- a/entry/src/main/kotlin/io/poplarwood/entry/operator/OperatorClient.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/operator/OperatorClient.kt
@@ -84,6 +84,9 @@
     suspend fun automation(paused: Boolean): Result<AutomationState, OperatorFailure> =
         ask(HttpMethod.Post, if (paused) "/v1/automation/pause" else "/v1/automation/resume") {}
 
+    /** Whether the first entry that answers takes new work. */
+    suspend fun ready(): Result<Readiness, OperatorFailure> = ask(HttpMethod.Get, OperatorServer.READY, NOT_READY) {}
+
     /** Metrics of the first entry that answers, in Prometheus text format. */
     suspend fun metrics(): Result<String, OperatorFailure> =
         send(entries, HttpMethod.Get, "/metrics") {}.map { it.text }
@@ -159,6 +162,7 @@
         const val CONNECT_MS = 2_000L
         const val ANSWER_MS = 30_000L
         val SUCCESS = 200..299
+        val NOT_READY = setOf(503)
         val OUTCOMES = setOf(409, 422, 503, 504)
     }
 }
