--- a/entry/src/main/kotlin/io/poplarwood/entry/http/CallHandler.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/http/CallHandler.kt
@@ -13,10 +13,13 @@
 import io.poplarwood.decision.once.StoredAnswer
 import io.poplarwood.entry.forward.Forwarder
 import io.poplarwood.entry.forward.HopHeaders
+import io.poplarwood.entry.log.EventLog
+import io.poplarwood.entry.log.LogEvent
 import io.poplarwood.entry.metrics.EntryMetrics
 import io.poplarwood.entry.once.KeyService
 import io.poplarwood.entry.runtime.CallRunner
 import io.poplarwood.entry.settings.HttpSettings
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
@@ -32,6 +35,7 @@
     private val writer: AnswerWriter,
     private val ticker: Ticker,
     private val metrics: EntryMetrics,
+    private val log: EventLog,
     private val requestIds: () -> RequestId,
     private val keys: KeyService?,
     private val scope: CoroutineScope,
@@ -53,6 +57,12 @@
                 exchange.attach(coroutineContext.job)
                 answer(call, exchange)
             }
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Exception) {
+            // Without a type there is no honest answer; the caller sees its connection end.
+            log.log(LogEvent.HANDLER_FAILED, call.response.headers[Headers.REQUEST_ID], e)
+            exchange.abort()
         } finally {
             exchange.detach()
             metrics.ended()
--- a/entry/src/main/kotlin/io/poplarwood/entry/node/EntryNode.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/node/EntryNode.kt
@@ -127,6 +127,7 @@
         scope.launch { runner.run() }
         scope.launch { events.run(runner) }
         scope.launch { tick() }
+        calls.warmUp()
         gate.start()
         runner.input { ready(true) }
     }
