--- a/entry/src/main/kotlin/io/poplarwood/entry/http/CallServer.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/http/CallServer.kt
@@ -23,6 +23,7 @@
 import io.poplarwood.entry.log.LogEvent
 import io.poplarwood.entry.metrics.EntryMetrics
 import io.poplarwood.entry.once.KeyService
+import io.poplarwood.entry.operator.ReloadingTls
 import io.poplarwood.entry.runtime.CallRunner
 import io.poplarwood.entry.settings.HttpSettings
 import io.poplarwood.peer.message.ForwardHead
@@ -81,6 +82,7 @@
             keys = keys,
             scope = scope,
         )
+    private val tls = settings.tls?.let { ReloadingTls(it) { e -> log.log(LogEvent.TLS_FILES_UNREADABLE, e.message) } }
     private val listener = ListenerHandle()
     private val server: EmbeddedServer<NettyApplicationEngine, NettyApplicationEngine.Configuration> =
         embeddedServer(Netty, configure = { configure() }) {
@@ -177,6 +179,7 @@
     }
 
     private fun guard(pipeline: ChannelPipeline) {
+        tls?.secure(pipeline.channel())
         val bytes = ByteWatch()
         // The engine would invite a body before the request is accepted; CallerConnection.sendContinue does it later.
         pipeline.remove("continue")
--- a/entry/src/main/kotlin/io/poplarwood/entry/log/LogEvent.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/log/LogEvent.kt
@@ -13,10 +13,17 @@
     LISTENING(1001, Level.INFO, "the callers' listener accepts connections", "host", "port"),
     ANSWER_CUT(1002, Level.WARN, "an upstream's answer ended early after its head had gone to the caller", "upstream"),
     HANDLER_FAILED(1003, Level.ERROR, "a request failed for a reason that has no type", "requestId", "error"),
+    DOCUMENT_IN_FORCE(2001, Level.INFO, "a document came into force at this entry", "service", "version", "sequence"),
+    CHANGE_EVERYWHERE(2002, Level.INFO, "a change is in force at every entry that takes work", "sequence", "tookMs"),
+    FRESH(2003, Level.INFO, "every accepted change is known here; new work is taken"),
+    NOT_FRESH(2004, Level.WARN, "accepted changes may be unknown here; new work is refused"),
+    RENAMED(3001, Level.WARN, "the others hold this run for gone; it continues under a new incarnation", "entry"),
+    PAUSED(3002, Level.WARN, "this process did not run for a while", "gapMs"),
     CONNECTION_SILENT(4001, Level.WARN, "a connection went silent while a fresh one works; it was closed", "upstream"),
     WARMED_UP(5001, Level.INFO, "the request path was exercised against itself", "requests", "tookMs"),
     DRAIN_STARTED(5002, Level.INFO, "a planned stop began", "inFlight", "limitMs"),
     DRAIN_ENDED(5003, Level.INFO, "a planned stop ended", "inFlight", "tookMs"),
+    TLS_FILES_UNREADABLE(5004, Level.WARN, "TLS files cannot be read; the earlier ones stay in use", "error"),
     ;
 
     /** Identifier as it is logged, such as `PW-1001`. */
--- a/entry/src/main/kotlin/io/poplarwood/entry/node/EntryNode.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/node/EntryNode.kt
@@ -10,6 +10,7 @@
 import io.poplarwood.decision.dispatch.Command
 import io.poplarwood.decision.explain.ExplainLog
 import io.poplarwood.entry.http.CallServer
+import io.poplarwood.entry.log.EventLog
 import io.poplarwood.entry.metrics.EntryMetrics
 import io.poplarwood.entry.metrics.PeerMetrics
 import io.poplarwood.entry.metrics.RecentCalls
@@ -68,6 +69,7 @@
     private var self: EntryRef = first
     private val crashes = CrashTable(position = { members.positionOf(settings.id) })
     private val explain = ExplainLog()
+    private val log = EventLog()
     private val services = Services(settings, ticker, random, explain, crashes, ::carryOut)
     private val events = FleetEvents(services, members, gate, ::observe)
     private val keys = NodeKeys(first, platform.table, members, clock, SplitMix(random.nextLong())) { forwards }
@@ -159,6 +161,7 @@
     }
 
     private fun observe(event: FleetEvent) {
+        log.record(event)
         if (event !is FleetEvent.Renamed) return
         self = event.self
         keys.rename(event.self)
--- a/entry/src/main/kotlin/io/poplarwood/entry/settings/HttpSettings.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/settings/HttpSettings.kt
@@ -21,6 +21,7 @@
  * @property probeTimeoutMs longest wait for its answer
  * @property callerThreads threads of the callers' listener; 0 derives them from the processors
  * @property upstreamThreads threads of the upstream connections; 0 derives them from the processors
+ * @property tls key and certificate of the callers' listener; null serves plain HTTP
  */
 @Serializable
 data class HttpSettings(
@@ -41,4 +42,5 @@
     val probeTimeoutMs: Long = 1_000,
     val callerThreads: Int = 0,
     val upstreamThreads: Int = 0,
+    val tls: TlsFiles? = null,
 )
