--- /dev/null
+++ b/peer/src/test/kotlin/io/poplarwood/peer/FrameFuzzSpec.kt
@@ -0,0 +1,32 @@
+package io.poplarwood.peer
+
+import io.poplarwood.api.random.SplitMix
+import io.poplarwood.fleet.message.FleetMessage
+import io.poplarwood.peer.link.FrameCodec
+import io.poplarwood.peer.link.LinkFrame
+import io.poplarwood.peer.message.PeerMessage
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertNotNull
+
+class FrameFuzzSpec {
+    @Nested
+    inner class `damaged frames` {
+        @Test
+        fun `are refused without an exception`() {
+            // Guards against a peer whose frame ends the reader in place of the link.
+            val good = RawFrames.helloAndWrongProof() + listOf(
+                FrameCodec.encode(LinkFrame.Carry(PeerMessage.Fleet(FleetMessage.ChangePull(9)))),
+                FrameCodec.encode(LinkFrame.Carry(PeerMessage.BodyChunk(1, true, 0, ByteArray(40), false))),
+                FrameCodec.encode(LinkFrame.Heartbeat),
+            )
+            good.forEach { assertNotNull(FrameCodec.decode(it)) }
+            val random = SplitMix(21)
+            repeat(40_000) {
+                val bytes = good[random.nextInt(good.size)].copyOf()
+                repeat(1 + random.nextInt(4)) { bytes[random.nextInt(bytes.size)] = random.nextLong().toByte() }
+                FrameCodec.decode(bytes.copyOf(1 + random.nextInt(bytes.size)))
+            }
+        }
+    }
+}
