Follow the settings that no longer name TLS files for callers

Cause: HttpSettings lost its TLS files while the reader resolved them, so main did not compile; the peers' TLS files were read and then used by nothing. Change: both are gone from the settings and their check; the demo tells how to reach its operators' listener.

--- a/bench/src/main/kotlin/io/poplarwood/bench/demo/Demo.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/demo/Demo.kt
@@ -62,6 +62,7 @@
         entries.forEach { awaitReady(it) }
         note("${upstreams.size} upstreams; entries at ${entries.joinToString { it.callersAddress }}")
         client().use { client -> DemoScenario.documents.forEach { accept(client, it) } }
+        note("operators: --entry ${entries.first().operatorsAddress} --token-file ${places.tokens}")
         note("the classes of ${DemoScenario.documents.size} services are in force")
     }
 
--- a/bench/src/main/kotlin/io/poplarwood/bench/demo/DemoPlaces.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/demo/DemoPlaces.kt
@@ -14,7 +14,7 @@
 internal class DemoPlaces(directory: Path) {
     val token = "demo-token"
     private val secret = Files.writeString(directory.resolve("secret"), "demo-secret-of-one-run")
-    private val tokens = Files.writeString(directory.resolve("tokens"), "demo $token\n")
+    val tokens: Path = Files.writeString(directory.resolve("tokens"), "demo $token\n")
 
     /** Settings of the entry that starts after those with the peer listeners [seeds]. */
     fun settings(platform: String, seeds: List<String>): EntrySettings {
--- a/entry/src/main/kotlin/io/poplarwood/entry/settings/PeerListener.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/settings/PeerListener.kt
@@ -9,7 +9,6 @@
  * @property advertised `host:port` that other entries use; null where it is [address]
  * @property seeds peer listeners to try besides those in the VM list
  * @property secretFile shared secret of the cell
- * @property tls key and certificate; null runs links without TLS
  */
 @Serializable
 data class PeerListener(
@@ -17,5 +16,4 @@
     val secretFile: String,
     val advertised: String? = null,
     val seeds: List<String> = emptyList(),
-    val tls: TlsFiles? = null,
 )
--- a/entry/src/main/kotlin/io/poplarwood/entry/settings/SettingsReader.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/settings/SettingsReader.kt
@@ -60,15 +60,11 @@
 
         fun absolute(tls: TlsFiles?) = tls?.let { TlsFiles(absolute(it.key), absolute(it.certificate)) }
         return settings.copy(
-            callers = settings.callers.copy(tls = absolute(settings.callers.tls)),
             operators = settings.operators.copy(
                 tokenFile = absolute(settings.operators.tokenFile),
                 tls = absolute(settings.operators.tls),
             ),
-            peers = settings.peers.copy(
-                secretFile = absolute(settings.peers.secretFile),
-                tls = absolute(settings.peers.tls),
-            ),
+            peers = settings.peers.copy(secretFile = absolute(settings.peers.secretFile)),
         )
     }
 }
--- a/entry/src/main/kotlin/io/poplarwood/entry/settings/ValueRules.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/settings/ValueRules.kt
@@ -87,8 +87,8 @@
             "platform.objects",
             "platform.vms",
         )
-        val FILES = listOf("operators.tokenFile", "peers.secretFile") +
-            listOf("callers", "operators", "peers").flatMap { listOf("$it.tls.key", "$it.tls.certificate") }
+        val FILES =
+            listOf("operators.tokenFile", "operators.tls.key", "operators.tls.certificate", "peers.secretFile")
         val RANGES = listOf(
             "maxEntries" to 1.0..1_000.0,
             "probesPerSecond" to 0.0..10_000.0,
