Refuse a crash suspect as soon as its last attempt is lost

Cause: a call whose third upstream was lost waited for the next tick before it got its final answer.

Change: the verdict is asked before a further attempt is planned.

--- a/decision/src/main/kotlin/io/poplarwood/decision/dispatch/ServiceDispatcher.kt
+++ b/decision/src/main/kotlin/io/poplarwood/decision/dispatch/ServiceDispatcher.kt
@@ -197,6 +197,7 @@
             }
             is RetryDecision.GiveUp -> refuse(row, refusalOf(next.reason, row))
             is RetryDecision.Again -> {
+                if (guard.heldUntil(row, now)?.isInfinite() == true) return refuseSuspect(row, now)
                 row.retry = next.reason
                 row.queuedAt = now
                 row.readyAt = now + next.delay
