--- a/bench/src/main/kotlin/io/poplarwood/bench/Benches.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/Benches.kt
@@ -2,9 +2,11 @@
 
 import io.poplarwood.bench.api.Bench
 import io.poplarwood.bench.budget.BudgetBench
+import io.poplarwood.bench.config.ConfigBench
 import io.poplarwood.bench.cost.DecisionCostBench
 import io.poplarwood.bench.deep.DeepBench
 import io.poplarwood.bench.flood.FloodBench
+import io.poplarwood.bench.overhead.OverheadBench
 import io.poplarwood.bench.routing.RoutingBench
 import io.poplarwood.bench.slopes.SlopesBench
 
@@ -15,6 +17,8 @@
         RoutingBench,
         FloodBench(),
         BudgetBench(),
+        OverheadBench(),
+        ConfigBench(),
         DeepBench(),
         SlopesBench(),
         DecisionCostBench,
--- a/entry/src/main/kotlin/io/poplarwood/entry/http/CallServer.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/http/CallServer.kt
@@ -19,8 +19,11 @@
 import io.poplarwood.api.work.ServiceDocument
 import io.poplarwood.decision.once.KeyOutcome
 import io.poplarwood.entry.forward.Forwarder
+import io.poplarwood.entry.log.EventLog
+import io.poplarwood.entry.log.LogEvent
 import io.poplarwood.entry.metrics.EntryMetrics
 import io.poplarwood.entry.once.KeyService
+import io.poplarwood.entry.operator.ReloadingTls
 import io.poplarwood.entry.runtime.CallRunner
 import io.poplarwood.entry.settings.HttpSettings
 import io.poplarwood.peer.message.ForwardHead
@@ -32,6 +35,7 @@
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * The callers' listener and the path from it to the upstreams.
@@ -55,30 +59,36 @@
     probeAllowed: (String) -> Boolean = { true },
     ownPaths: suspend (ApplicationCall) -> Boolean = { false },
     keys: KeyService? = null,
+    private val log: EventLog = EventLog(),
 ) {
     private val sequence = AtomicLong()
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val connections = CallerConnections(settings.callerConnections, metrics)
-    private val forwarder = Forwarder(settings, ticker, metrics, connectionLimit, probeAllowed)
-    private val reader = RequestReader(settings, documents, ticker)
+    private val forwarder = Forwarder(settings, ticker, metrics, log, connectionLimit, probeAllowed)
+    private val warmUp = WarmUp(forwarder, ticker)
+    private val reader = RequestReader(settings, warmUp.documents(documents), ticker)
     private val forwarded = keys?.let { ForwardedCalls(reader, runners, forwarder, ticker, metrics, it) }
     private val handler =
         CallHandler(
             settings = settings,
             reader = reader,
-            runners = runners,
+            runners = warmUp.runners(runners),
             forwarder = forwarder,
-            writer = AnswerWriter(metrics),
+            writer = AnswerWriter(metrics, log),
             ticker = ticker,
             metrics = metrics,
+            log = log,
             requestIds = ::nextId,
             keys = keys,
             scope = scope,
         )
+    private val tls = settings.tls?.let { ReloadingTls(it) { e -> log.log(LogEvent.TLS_FILES_UNREADABLE, e.message) } }
     private val listener = ListenerHandle()
     private val server: EmbeddedServer<NettyApplicationEngine, NettyApplicationEngine.Configuration> =
         embeddedServer(Netty, configure = { configure() }) {
-            intercept(ApplicationCallPipeline.Call) { if (!ownPaths(context)) handler.handle(context) }
+            intercept(ApplicationCallPipeline.Call) {
+                if (!warmUp.answer(context) && !ownPaths(context)) handler.handle(context)
+            }
         }
 
     /** Port that the listener is bound to, after [start]. */
@@ -93,6 +103,18 @@
         forwarder.start(scope)
         server.startSuspend(wait = false)
         port = server.engine.resolvedConnectors().first().port
+        log.log(LogEvent.LISTENING, settings.host, port)
+    }
+
+    /**
+     * Exercises the request path against itself, over real connections, so that callers do not meet a cold one. Takes
+     * at most [limit]; returns the number of requests answered.
+     */
+    suspend fun warmUp(limit: Duration = WARM_UP): Int {
+        val started = ticker.now()
+        val answered = warmUp.run(port, limit)
+        log.log(LogEvent.WARMED_UP, answered, (ticker.now() - started).inWholeMilliseconds)
+        return answered
     }
 
     /** Runs a request that a peer forwarded here because this entry owns its key. */
@@ -104,21 +126,25 @@
 
     /**
      * Ends service without interrupting a request: serves for at least [named], while callers may still be told of this
-     * entry, asking them to close their connections; waits for the last request; then closes the listener and idle
-     * connections. Gives up after [limit].
+     * entry, asking them to close their connections; waits for the last request; then closes the listener and each
+     * connection that stays idle. Gives up after [limit].
      *
      * @return true when no request was in flight at the end
      */
     suspend fun drain(limit: Duration, named: Duration = Duration.ZERO): Boolean {
         val started = ticker.now()
+        log.log(LogEvent.DRAIN_STARTED, inFlight, limit.inWholeMilliseconds)
         connections.draining = true
         while (ticker.now() - started < limit) {
             if (inFlight == 0 && ticker.now() - started >= named) break
             delay(DRAIN_STEP)
         }
         listener.close()
-        while (inFlight > 0 && ticker.now() - started < limit) delay(DRAIN_STEP)
-        connections.closeIdle()
+        while (!connections.isEmpty && ticker.now() - started < limit) {
+            connections.closeQuiet(QUIET)
+            delay(DRAIN_STEP)
+        }
+        log.log(LogEvent.DRAIN_ENDED, inFlight, (ticker.now() - started).inWholeMilliseconds)
         return inFlight == 0
     }
 
@@ -138,6 +164,8 @@
         }
         enableHttp2 = false
         responseWriteTimeoutSeconds = 0
+        // Handlers suspend and never block, so they run on the connection's own event loop.
+        shareWorkGroup = true
         if (settings.callerThreads > 0) {
             connectionGroupSize = 1
             workerGroupSize = settings.callerThreads
@@ -151,6 +179,7 @@
     }
 
     private fun guard(pipeline: ChannelPipeline) {
+        tls?.secure(pipeline.channel())
         val bytes = ByteWatch()
         // The engine would invite a body before the request is accepted; CallerConnection.sendContinue does it later.
         pipeline.remove("continue")
@@ -176,6 +205,10 @@
     private companion object {
         const val RADIX = 36
         const val MAX_CHUNK_BYTES = 16 * 1024
+        val WARM_UP = 3.seconds
+
+        /** Longer than a request takes from a caller to its entry. */
+        val QUIET = 500.milliseconds
         val DRAIN_STEP = 10.milliseconds
     }
 }
