Keep store operations asked for before the runner runs

Cause: an input before FleetRunner.run that asked for a store operation failed, as there was no scope to perform it in.

Change: such operations wait for run.

Conclusion: the entry may give inputs in any order.

--- a/fleet/src/main/kotlin/io/poplarwood/fleet/FleetRunner.kt
+++ b/fleet/src/main/kotlin/io/poplarwood/fleet/FleetRunner.kt
@@ -17,7 +17,8 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Drives a [FleetNode]: ticks it, performs its store operations and passes on its messages and events.
+ * Drives a [FleetNode]: ticks it, performs its store operations and passes on its messages and events. Store operations
+ * that are asked for before [run] wait for it.
  *
  * @param send sends a message; must not block
  * @param onEvent receives events in order; must not block or call back into the runner
@@ -31,11 +32,16 @@
     private val lock = Mutex()
     private val settled = ConcurrentHashMap<String, CompletableDeferred<ChangeResult>>()
     private val everywhere = ConcurrentHashMap<String, CompletableDeferred<Duration>>()
-    private lateinit var scope: CoroutineScope
+    private val early = ArrayList<FleetOutput.Perform>()
+    private var scope: CoroutineScope? = null
 
     /** Runs until cancelled. */
     suspend fun run(): Nothing = coroutineScope {
-        scope = this
+        lock.withLock {
+            scope = this
+            early.forEach { perform(this, it) }
+            early.clear()
+        }
         while (true) {
             input { tick() }
             delay(TICK)
@@ -79,10 +85,14 @@
         when (output) {
             is FleetOutput.Send -> send(output)
             is FleetOutput.Tell -> tell(output.event)
-            is FleetOutput.Perform -> scope.launch {
-                val answer = ports.perform(output.operation)
-                input { answered(output.id, answer) }
-            }
+            is FleetOutput.Perform -> scope?.let { perform(it, output) } ?: early.add(output)
+        }
+    }
+
+    private fun perform(scope: CoroutineScope, output: FleetOutput.Perform) {
+        scope.launch {
+            val answer = ports.perform(output.operation)
+            input { answered(output.id, answer) }
         }
     }
 
