--- a/decision/src/main/kotlin/io/poplarwood/decision/admission/SlotAccount.kt
+++ b/decision/src/main/kotlin/io/poplarwood/decision/admission/SlotAccount.kt
@@ -19,6 +19,7 @@
  */
 internal class SlotAccount(private val settings: DispatcherSettings, private val rounding: Double) {
     private var limit = 0
+    private var free = 0
 
     /** Upstreams that may get new work. */
     var upstreams = 0
@@ -35,10 +36,13 @@
     /** Takes in the router's view of the slots. */
     fun limits(rows: List<UpstreamRow>) {
         limit = 0
+        free = 0
         upstreams = 0
         for (row in rows) {
             if (row.state == UpstreamState.LEAVING) continue
             limit += row.limit
+            // By upstream, since an attempt without a lease at one upstream leaves the lease of another free.
+            free += max(0, row.limit - row.inFlight)
             upstreams++
         }
     }
@@ -51,8 +55,10 @@
         val weight = 1 - exp(-seconds / LOAD_WINDOW_SECONDS)
         for (q in queues) {
             q.load += weight * (q.inUse - q.load)
+            q.refused -= weight * q.refused
             q.drain.advance(span)
-            q.credit = bounded(q, q.credit + (q.spec.target.keepShare ?: 0.0) * inUse * seconds)
+            // An entry that holds no slot yet must be owed some, or its classes would never come before others' ranks.
+            q.credit = bounded(q, q.credit + (q.spec.target.keepShare ?: 0.0) * max(inUse, 1) * seconds)
         }
     }
 
@@ -63,6 +69,7 @@
         call.charged = q.serviceTime.mean
         q.credit = bounded(q, q.credit - call.charged)
         q.inUse++
+        free--
         q.drain.dispatched()
         inUse++
     }
@@ -74,13 +81,26 @@
         q.credit = bounded(q, q.credit + call.charged - held)
         q.inUse--
         inUse--
+        free++
     }
 
     /** True when a class of [rank] must leave the free slots to urgent work. */
     fun reservedFor(rank: Rank): Boolean {
         if (rank == Rank.URGENT || limit == 0) return false
         val reserve = floor(settings.urgentReserve * slots + rounding).toInt()
-        return slots - inUse <= reserve
+        return reserve > 0 && free <= reserve
+    }
+
+    /**
+     * Calls of [queue] that another slot would help, as the router weighs them against those of other entries.
+     *
+     * Early refusal keeps queues in proportion to an entry's slots, so that queues alone would not show that an entry
+     * with few slots refuses more. Without the refused calls, leases gather at some entries during a flood, and classes
+     * miss their shares at the others.
+     */
+    fun demand(queue: ClassQueue): Int {
+        if (queue.calls.isEmpty() || atSlotBound(queue)) return 0
+        return queue.calls.size + (queue.refused * settings.refusedWeight / max(1, slots)).toInt()
     }
 
     /** True when [queue] holds as many slots as its class may. */
