Measure planned stops and faults over real connections

Cause: drain and faults were designed benches without code; stopping an entry twice failed on its closed listener. Change: bench drain and bench faults run three real entries, six stand-in upstreams and verified load; the load generator tells which requests were answered not-run, so that false ones are found; stopping twice is harmless.

--- a/bench/src/main/kotlin/io/poplarwood/bench/Benches.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/Benches.kt
@@ -6,6 +6,8 @@
 import io.poplarwood.bench.cost.DecisionCostBench
 import io.poplarwood.bench.deep.DeepBench
 import io.poplarwood.bench.flood.FloodBench
+import io.poplarwood.bench.live.DrainBench
+import io.poplarwood.bench.live.FaultsBench
 import io.poplarwood.bench.overhead.OverheadBench
 import io.poplarwood.bench.routing.RoutingBench
 import io.poplarwood.bench.slopes.SlopesBench
@@ -19,6 +21,8 @@
         BudgetBench(),
         OverheadBench(),
         ConfigBench(),
+        DrainBench(),
+        FaultsBench(),
         DeepBench(),
         SlopesBench(),
         DecisionCostBench,
--- /dev/null
+++ b/bench/src/main/kotlin/io/poplarwood/bench/live/LiveTable.kt
@@ -0,0 +1,26 @@
+package io.poplarwood.bench.live
+
+import io.poplarwood.bench.api.BenchRow
+import io.poplarwood.bench.api.BenchTable
+
+/** Results of cases as a table; [measured] names what each case measures in milliseconds. */
+internal fun liveTable(title: String, measured: String, results: List<Pair<LiveCase, LiveResult>>): BenchTable {
+    val columns = listOf(
+        "sent",
+        "served",
+        "not-run",
+        "unknown",
+        "failed",
+        "cut",
+        "ran twice",
+        "falsely not-run",
+        "crashes",
+        measured,
+    )
+    val rows = results.map { (case, r) ->
+        val counts = listOf(r.sent, r.served, r.notRun, r.unknown, r.failed, r.cut)
+        val faults = listOf(r.twice.toDouble(), r.falselyNotRun.toDouble(), r.crashes.toDouble(), r.measuredMs)
+        BenchRow(case.name, counts.map { it.toDouble() } + faults)
+    }
+    return BenchTable(title, columns, rows)
+}
--- a/bench/src/main/kotlin/io/poplarwood/bench/load/LoadCaller.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/load/LoadCaller.kt
@@ -36,7 +36,7 @@
     suspend fun call(token: String, due: Duration) {
         statistics.sent()
         repeat(CONNECT_ATTEMPTS) {
-            val entry = book.next() ?: return statistics.noEntry()
+            val entry = book.next() ?: return statistics.noEntry(token)
             try {
                 val response = send(entry, token)
                 judge(response, response.bodyAsBytes(), token, due)
@@ -50,11 +50,11 @@
                 statistics.wrong()
                 return
             } catch (_: IOException) {
-                statistics.ended("unknown", "entry-connection-lost")
+                statistics.ended("unknown", "entry-connection-lost", token)
                 return
             }
         }
-        statistics.noEntry()
+        statistics.noEntry(token)
     }
 
     private suspend fun send(entry: DirectoryEntry, token: String): HttpResponse = client.request {
@@ -70,8 +70,12 @@
     private fun judge(response: HttpResponse, bytes: ByteArray, token: String, due: Duration) {
         val outcome = response.headers[Headers.OUTCOME]
         when {
-            outcome != null -> statistics.ended(outcome, response.headers[Headers.REASON] ?: "no-reason")
-            response.status.value >= FIRST_SERVER_ERROR -> statistics.ended("failed", "status-${response.status.value}")
+            outcome != null -> statistics.ended(outcome, response.headers[Headers.REASON] ?: "no-reason", token)
+            response.status.value >= FIRST_SERVER_ERROR -> statistics.ended(
+                "failed",
+                "status-${response.status.value}",
+                token,
+            )
             belongs(bytes, token) -> statistics.served(ticker.now() - due)
             else -> statistics.wrong()
         }
@@ -85,7 +89,7 @@
             false
         }
 
-    private fun LoadStatistics.noEntry() = ended("not-run", "no-entry")
+    private fun LoadStatistics.noEntry(token: String) = ended("not-run", "no-entry", token)
 
     private companion object {
         const val CONNECT_ATTEMPTS = 3
--- a/bench/src/main/kotlin/io/poplarwood/bench/load/LoadReport.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/load/LoadReport.kt
@@ -1,6 +1,7 @@
 package io.poplarwood.bench.load
 
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.Transient
 
 /**
  * How the requests of one class fared. Times run from the planned arrival, so that a stalled generator shows.
@@ -10,6 +11,7 @@
  * @property failed answers `failed` and server errors, by reason
  * @property wrong answers that were not whole or belonged to another request
  * @property targetMet whether the target's part was served in its time; null without a target
+ * @property refusedTokens requests answered `not-run`, by their tokens
  */
 @Serializable
 data class LoadReport(
@@ -25,4 +27,5 @@
     val p999Ms: Double,
     val servedInTimePart: Double?,
     val targetMet: Boolean?,
+    @Transient val refusedTokens: Set<String> = emptySet(),
 )
--- a/bench/src/main/kotlin/io/poplarwood/bench/load/LoadStatistics.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/load/LoadStatistics.kt
@@ -12,6 +12,7 @@
     private val served = AtomicLong()
     private val inTime = AtomicLong()
     private val wrong = AtomicLong()
+    private val refusedTokens = ConcurrentHashMap.newKeySet<String>()
     private val refused = ConcurrentHashMap<String, AtomicLong>()
     private val unknown = ConcurrentHashMap<String, AtomicLong>()
     private val failed = ConcurrentHashMap<String, AtomicLong>()
@@ -26,7 +27,8 @@
 
     fun wrong() = wrong.incrementAndGet()
 
-    fun ended(outcome: String, reason: String) {
+    fun ended(outcome: String, reason: String, token: String) {
+        if (outcome == "not-run") refusedTokens += token
         val map = when (outcome) {
             "not-run" -> refused
             "unknown" -> unknown
@@ -50,6 +52,7 @@
             p999Ms = millis(99.9),
             servedInTimePart = part,
             targetMet = part?.let { it >= of.targetPart },
+            refusedTokens = refusedTokens.toSet(),
         )
     }
 
--- a/entry/src/main/kotlin/io/poplarwood/entry/node/EntryNode.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/node/EntryNode.kt
@@ -105,7 +105,9 @@
     val callersAddress: String get() = "${settings.address}:${calls.port}"
 
     /** `ip:port` of the peer listener, after [start]. */
-    val peerAddress: String get() = "${settings.address}:${peers.port}"
+    @Volatile
+    var peerAddress: String = "${settings.address}:${settings.peerPort}"
+        private set
 
     /** Why new work is refused; null when it is taken. */
     val refusal get() = gate.refusal
@@ -114,6 +116,7 @@
     suspend fun start() {
         calls.start()
         peers.start(scope)
+        peerAddress = "${settings.address}:${peers.port}"
         val desk = ForwardDesk(settings.http.keptBodyBytes, keys) { calls }
         val seed = random.nextLong()
         forwards = Forwarder(scope, SplitMix(seed), peers::send, peers::put) { _, head, body -> desk.serve(head, body) }
@@ -151,11 +154,17 @@
         return clean
     }
 
-    /** Stops without a pause: tells the others and closes everything. */
-    suspend fun stop() {
+    /** Whether a document of [service] is in force here. */
+    fun serves(service: ServiceName): Boolean = services[service] != null
+
+    /** Stops without a pause and closes everything; the others are told unless [announce] is false. */
+    suspend fun stop(announce: Boolean = true) {
+        if (job.isCancelled) return
         gate.stop()
-        fleet?.input { end() }
-        delay(FAREWELL)
+        if (announce) {
+            fleet?.input { end() }
+            delay(FAREWELL)
+        }
         calls.stop()
         job.cancelAndJoin()
     }
