--- a/decision/src/main/kotlin/io/poplarwood/decision/dispatch/DispatcherSettings.kt
+++ b/decision/src/main/kotlin/io/poplarwood/decision/dispatch/DispatcherSettings.kt
@@ -23,7 +23,7 @@
  */
 data class DispatcherSettings(
     val queueBound: Int = 1_000,
-    val urgentReserve: Double = 0.02,
+    val urgentReserve: Double = 0.04,
     val refusedWeight: Double = 10.0,
     val patience: Double = 0.5,
     val shareWindow: Duration = 500.milliseconds,
