Fold a function of FleetNode into its only caller

Change: the rule for entries outside the view is part of isFresh.

Conclusion: no change of behaviour.

--- a/fleet/src/main/kotlin/io/poplarwood/fleet/FleetNode.kt
+++ b/fleet/src/main/kotlin/io/poplarwood/fleet/FleetNode.kt
@@ -200,15 +200,12 @@
 
     private fun isFresh(now: Duration): Boolean {
         val started = startedAt ?: return false
-        return parts.state.applied >= 0 && now - started >= JOIN_HOLD && known() && parts.freshness.fresh(now)
+        // An entry outside the view is waited for only if it is known to the accepting entry, so it takes work only
+        // while the store, and with it all changes, seems down.
+        val awaited = parts.state.view?.let { ctx.self in it.members || parts.watch.storeDown } ?: true
+        return parts.state.applied >= 0 && now - started >= JOIN_HOLD && awaited && parts.freshness.fresh(now)
     }
 
-    /**
-     * True when changes wait for this entry's acknowledgement. An entry outside the view is waited for only if it is
-     * known to the accepting entry, so it takes work only while the store, and with it all changes, seems down.
-     */
-    private fun known(): Boolean = parts.state.view?.let { ctx.self in it.members || parts.watch.storeDown } ?: true
-
     private fun digest(): Digest = Digest(
         self = row,
         applied = parts.state.applied,
