--- a/entry/src/main/kotlin/io/poplarwood/entry/log/LogEvent.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/log/LogEvent.kt
@@ -17,6 +17,7 @@
     WARMED_UP(5001, Level.INFO, "the request path was exercised against itself", "requests", "tookMs"),
     DRAIN_STARTED(5002, Level.INFO, "a planned stop began", "inFlight", "limitMs"),
     DRAIN_ENDED(5003, Level.INFO, "a planned stop ended", "inFlight", "tookMs"),
+    TLS_FILES_BAD(5004, Level.WARN, "a listener's TLS files cannot be read; the earlier ones stay", "error"),
     ;
 
     /** Identifier as it is logged, such as `PW-1001`. */
--- a/entry/src/main/kotlin/io/poplarwood/entry/operator/OperatorServer.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/operator/OperatorServer.kt
@@ -16,19 +16,18 @@
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.routing
 import io.ktor.util.AttributeKey
+import io.poplarwood.entry.log.EventLog
+import io.poplarwood.entry.log.LogEvent
 import io.poplarwood.entry.settings.OperatorListener
 import kotlinx.serialization.json.Json
-import org.slf4j.LoggerFactory
 import java.nio.file.Path
 
 /** The operators' listener: bearer token on everything but `GET /ready`, TLS where the settings have it. */
 class OperatorServer(private val settings: OperatorListener, private val backend: OperatorBackend) {
-    private val log = LoggerFactory.getLogger(OperatorServer::class.java)
+    private val log = EventLog()
     private val tokens = Tokens(Path.of(settings.tokenFile))
     private val tls = settings.tls?.let { files ->
-        ReloadingTls(files) {
-            log.warn("PW-6001 operators' TLS files cannot be read, the earlier ones stay: {}", it.message)
-        }
+        ReloadingTls(files) { log.log(LogEvent.TLS_FILES_BAD, it.message) }
     }
     private val server: EmbeddedServer<NettyApplicationEngine, NettyApplicationEngine.Configuration> =
         embeddedServer(Netty, configure = { configure() }) { serve() }
