--- a/cli/src/main/kotlin/io/poplarwood/cli/command/ClassesSetCommand.kt
+++ b/cli/src/main/kotlin/io/poplarwood/cli/command/ClassesSetCommand.kt
@@ -20,9 +20,7 @@
     private val service by argument("SERVICE")
     private val file by argument("FILE").path(mustExist = true, canBeDir = false, mustBeReadable = true)
     private val expected by option("--expect-version", metavar = "N")
-        .help(
         .help("Version that `classes list` showed, 0 for a new service; another one refuses the change.")
-        )
         .long().required()
     private val wait by option("--wait").help("Return only when every entry that takes work has the change.").flag()
 
