Check the callers' TLS files like those of operators

Cause: the callers' listener has its TLS setting back, but the settings reader neither resolved nor checked its files. Change: both file names are resolved against the settings' folder and must be readable. Conclusion: a wrong file name is one line of check, not a failed start.

--- a/bench/src/main/kotlin/io/poplarwood/bench/live/LiveRun.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/live/LiveRun.kt
@@ -42,7 +42,7 @@
 /**
  * What a case did to the callers.
  *
- * @property cut requests whose answer was lost or broken on its way: ended by a lost connection to an entry, or not whole
+ * @property cut requests whose connection to an entry was lost, or whose answer was not whole
  * @property unknown requests answered `unknown`
  * @property twice orders that ran more than once
  * @property falselyNotRun orders answered `not-run` that did run
--- a/entry/src/main/kotlin/io/poplarwood/entry/settings/SettingsReader.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/settings/SettingsReader.kt
@@ -60,6 +60,7 @@
 
         fun absolute(tls: TlsFiles?) = tls?.let { TlsFiles(absolute(it.key), absolute(it.certificate)) }
         return settings.copy(
+            callers = settings.callers.copy(tls = absolute(settings.callers.tls)),
             operators = settings.operators.copy(
                 tokenFile = absolute(settings.operators.tokenFile),
                 tls = absolute(settings.operators.tls),
--- a/entry/src/main/kotlin/io/poplarwood/entry/settings/ValueRules.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/settings/ValueRules.kt
@@ -88,7 +88,14 @@
             "platform.vms",
         )
         val FILES =
-            listOf("operators.tokenFile", "operators.tls.key", "operators.tls.certificate", "peers.secretFile")
+            listOf(
+                "callers.tls.key",
+                "callers.tls.certificate",
+                "operators.tokenFile",
+                "operators.tls.key",
+                "operators.tls.certificate",
+                "peers.secretFile",
+            )
         val RANGES = listOf(
             "maxEntries" to 1.0..1_000.0,
             "probesPerSecond" to 0.0..10_000.0,
