Remove old claims and records of keys, and a setting without effect

Cause: nothing removed claim rows or swept expired key records; EntrySettings named a probe budget that nothing read, since operators set that budget in each service's document. Measured: NodeKeysSpec keeps a claim of 19 minutes and removes one of 21. Conclusion: the table no longer grows with orders.

--- a/entry/src/main/kotlin/io/poplarwood/entry/node/EntryNode.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/node/EntryNode.kt
@@ -40,6 +40,7 @@
 import kotlinx.coroutines.launch
 import kotlin.time.Clock
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** One entry: callers' listener, decisions, links to peers and the fleet, wired together. */
 class EntryNode(
@@ -132,6 +133,7 @@
         scope.launch { runner.run() }
         scope.launch { events.run(runner) }
         scope.launch { tick() }
+        scope.launch { sweep() }
         calls.warmUp()
         gate.start()
         runner.input { ready(true) }
@@ -189,6 +191,15 @@
         }
     }
 
+    private suspend fun sweep() {
+        val jitter = SplitMix(random.nextLong())
+        while (true) {
+            delay(SWEEP * (1 + jitter.nextDouble()))
+            keys.sweep()
+            keys.sweepClaims()
+        }
+    }
+
     private fun send(output: FleetOutput.Send) {
         peers.send(output.address, PeerMessage.Fleet(output.message))
     }
@@ -212,6 +223,9 @@
         /** Period of the decisions' systems. */
         val TICK = 10.milliseconds
 
+        /** Records and claims live for minutes; jitter keeps entries from scanning together. */
+        val SWEEP = 30.seconds
+
         /** Another entry takes the request at once; this leaves the caller time to turn to it. */
         val RETRY_ELSEWHERE = 100.milliseconds
 
--- a/entry/src/main/kotlin/io/poplarwood/entry/node/NodeKeys.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/node/NodeKeys.kt
@@ -2,13 +2,16 @@
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.map
 import io.poplarwood.api.http.Headers
 import io.poplarwood.api.id.EntryRef
 import io.poplarwood.api.outcome.RefusalReason
+import io.poplarwood.api.platform.RowWrite
 import io.poplarwood.api.platform.TableStore
 import io.poplarwood.api.random.Randomness
 import io.poplarwood.decision.once.AtMostOnce
+import io.poplarwood.decision.once.IssuedKey
 import io.poplarwood.decision.once.KeyOutcome
 import io.poplarwood.decision.once.KeyPorts
 import io.poplarwood.decision.once.KeyTable
@@ -28,6 +31,7 @@
 import java.io.ByteArrayOutputStream
 import kotlin.time.Clock
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
 
 /**
  * The keys that this entry owns, and the way to the owners of others.
@@ -43,6 +47,7 @@
     private val links: () -> Forwarder?,
 ) : KeyService {
     private val table = KeyTable()
+    private var claimsAfter = ""
 
     @Volatile
     private var once = onceFor(first)
@@ -77,6 +82,17 @@
     /** Drops records of keys whose lifetime is over. */
     fun sweep() = table.sweep(nowMs())
 
+    /** Removes a page of claims that no resend can refer to any more; removing one twice does no harm. */
+    suspend fun sweepClaims() {
+        val page = store.scan(CLAIMS, claimsAfter, CLAIM_PAGE).getOrElse { return }
+        claimsAfter = if (page.size < CLAIM_PAGE) "" else page.last().key
+        val old = page.filter { row ->
+            val claim = IssuedKey.parse(row.value.decodeToString())
+            claim != null && nowMs() - claim.issuedMs > CLAIM_LIFE.inWholeMilliseconds
+        }
+        if (old.isNotEmpty()) store.transact(old.map { RowWrite(it.key, it.version, null) })
+    }
+
     private fun onceFor(self: EntryRef) = AtMostOnce(self, table, store, ::isGone, ::nowMs, random)
 
     private fun isGone(ref: EntryRef): Boolean = members.addressOf(ref) == null
@@ -110,6 +126,11 @@
         /** A body that is forwarded whole is at most as large as one that is kept for retries. */
         val TOO_LARGE: RefusalReason = RefusalReason.BODY_TOO_LARGE
         private const val REFUSED_STATUS = 0
+        private const val CLAIMS = "claim/"
+        private const val CLAIM_PAGE = 50
+
+        /** Twice a key's lifetime: a claim that is almost past it may still lead to a first run. */
+        private val CLAIM_LIFE = 20.minutes
         private val NONE = ByteArray(0)
         private val NOT_KEPT = RefusalReason.KEY_ANSWER_NOT_KEPT
         private val REASONS = RefusalReason.entries.associateBy { it.wire }
--- a/entry/src/main/kotlin/io/poplarwood/entry/settings/EntrySettings.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/settings/EntrySettings.kt
@@ -11,7 +11,6 @@
  * @property cell name of the cell; entries of another cell are strangers
  * @property callersAdvertised `host:port` at which callers reach [callers]
  * @property maxEntries most entries that the cell will ever have at once; the shares of the budgets come from it
- * @property probesPerSecond probes and report reads a second that the whole cell may place on upstreams
  * @property drainBoundMs longest time a planned stop waits for requests in flight
  */
 @Serializable
@@ -25,6 +24,5 @@
     val peers: PeerListener,
     val platform: PlatformSettings,
     val maxEntries: Int = 64,
-    val probesPerSecond: Double = 50.0,
     val drainBoundMs: Long = 60_000,
 )
--- a/entry/src/main/kotlin/io/poplarwood/entry/settings/ValueRules.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/settings/ValueRules.kt
@@ -98,7 +98,6 @@
             )
         val RANGES = listOf(
             "maxEntries" to 1.0..1_000.0,
-            "probesPerSecond" to 0.0..10_000.0,
             "drainBoundMs" to 0.0..86_400_000.0,
             "platform.connectTimeoutMs" to 1.0..60_000.0,
             "platform.answerTimeoutMs" to 1.0..60_000.0,
