Share the byte cap of wants among the services of an entry

Cause: the cap of 6 KB/s held per service; an entry with the 52 services of a cell in two years could spend 312 KB/s.

--- a/decision/src/main/kotlin/io/poplarwood/decision/routing/RouterSettings.kt
+++ b/decision/src/main/kotlin/io/poplarwood/decision/routing/RouterSettings.kt
@@ -18,10 +18,15 @@
 data class RouterSettings(
     val zone: Zone,
     val subsetSize: Int = 40,
-    val wantBytesPerSecond: Int = 6_000,
+    val wantBytesPerSecond: () -> Int = { MOST_WANT_BYTES },
     val shedsPerRequest: Double = 0.15,
     val ramp: Duration = 5.seconds,
     val connectionReserve: Double = 0.2,
     val renewEvery: Duration = 1.seconds,
     val leaseLife: Duration = 2500.milliseconds,
-)
+) {
+    companion object {
+        /** Bytes of wants and gives that one entry may send a second, over all its services. */
+        const val MOST_WANT_BYTES: Int = 6_000
+    }
+}
--- a/decision/src/main/kotlin/io/poplarwood/decision/routing/WantDesk.kt
+++ b/decision/src/main/kotlin/io/poplarwood/decision/routing/WantDesk.kt
@@ -12,7 +12,7 @@
  */
 internal class WantDesk(
     private val zone: Zone,
-    private val bytesPerSecond: Int,
+    private val bytesPerSecond: () -> Int,
     private val random: Randomness,
     private val send: (EntryRef, SlotMessage) -> Unit,
 ) {
@@ -120,8 +120,9 @@
     }
 
     private fun refill(now: Long) {
-        bytes =
-            (bytes + (now - bytesAt) / MICROS_PER_SECOND * bytesPerSecond).coerceAtMost(bytesPerSecond * BURST_SECONDS)
+        val rate = bytesPerSecond()
+        val most = maxOf(rate * BURST_SECONDS, EXCHANGE_BYTES.toDouble())
+        bytes = (bytes + (now - bytesAt) / MICROS_PER_SECOND * rate).coerceAtMost(most)
         bytesAt = now
     }
 
