--- a/bench/src/main/kotlin/io/poplarwood/bench/live/DrainBench.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/live/DrainBench.kt
@@ -31,7 +31,7 @@
         val leaving = results.filter { !it.second.measuredMs.isNaN() }
             .map { (case, r) -> BenchCheck("${case.name}: last new request, ms", r.measuredMs, LEAVING_MS) }
         val table = liveTable("Planned stops", "last new request, ms", results)
-        return BenchReport(name, options.seed, listOf(table), checks + leaving)
+        return BenchReport(name, options.seed, listOf(table, reasonTable(results)), checks + leaving)
     }
 
     private companion object {
--- a/bench/src/main/kotlin/io/poplarwood/bench/live/FaultsBench.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/live/FaultsBench.kt
@@ -37,7 +37,7 @@
         val crash = results.first { it.first === CRASH }.second.crashes.toDouble()
         val most = BenchCheck("upstreams that one crashing request takes down", crash, MOST_CRASHES)
         val table = liveTable("Faults", "measured, ms", results)
-        return BenchReport(name, options.seed, listOf(table), checks + most)
+        return BenchReport(name, options.seed, listOf(table, reasonTable(results)), checks + most)
     }
 
     private companion object {
--- a/bench/src/main/kotlin/io/poplarwood/bench/live/LiveRun.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/live/LiveRun.kt
@@ -43,6 +43,7 @@
  * What a case did to the callers.
  *
  * @property cut requests whose connection to an entry was lost, or whose answer was not whole
+ * @property notRun requests answered `not-run`, by reason
  * @property unknown requests answered `unknown`
  * @property twice orders that ran more than once
  * @property falselyNotRun orders answered `not-run` that did run
@@ -50,7 +51,7 @@
 internal class LiveResult(
     val sent: Long,
     val served: Long,
-    val notRun: Long,
+    val notRun: Map<String, Long>,
     val unknown: Long,
     val failed: Long,
     val cut: Long,
@@ -68,7 +69,9 @@
             return LiveResult(
                 sent = reports.sumOf { it.sent },
                 served = reports.sumOf { it.served },
-                notRun = reports.sumOf { r -> r.refused.values.sum() },
+                notRun = reports.flatMap { it.refused.entries }
+                    .groupBy({ it.key }, { it.value })
+                    .mapValues { it.value.sum() },
                 unknown = reports.sumOf { r -> r.unknown.filterKeys { it != CUT }.values.sum() },
                 failed = reports.sumOf { r -> r.failed.values.sum() },
                 cut = cut,
