Test TLS on the callers' listener

Change: CallerTlsSpec; the certificates of listeners under test have one place. Measured: a request over TLS is answered and a plain one is not. The reason phrase of an upstream's status line is not passed on, which HTTP/1.1 leaves open (RFC 9112, 4), so the test compares version and status.

--- /dev/null
+++ b/entry/src/test/kotlin/io/poplarwood/entry/http/CallerTlsSpec.kt
@@ -0,0 +1,42 @@
+package io.poplarwood.entry.http
+
+import io.poplarwood.entry.settings.HttpSettings
+import io.poplarwood.entry.settings.TlsFiles
+import io.poplarwood.entry.support.Certificates
+import io.poplarwood.entry.support.Path
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.io.TempDir
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import java.nio.file.Path as FilePath
+
+internal class CallerTlsSpec {
+    @TempDir
+    lateinit var directory: FilePath
+
+    @Nested
+    inner class `a callers' listener with TLS files` {
+        /** Guards against a listener whose settings name TLS and that serves plain HTTP, or nothing. */
+        @Test
+        fun `serves callers over TLS and refuses plain ones`() {
+            val files = TlsFiles(directory.resolve("key.pem").toString(), directory.resolve("cert.pem").toString())
+            Certificates.write(files)
+            val answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+            Path(HttpSettings(tls = files), serve = {
+                head()
+                send(answer)
+            }).use { path ->
+                Certificates.trustingAll.createSocket("127.0.0.1", path.server.port).use {
+                    it.getOutputStream().write(REQUEST.toByteArray())
+                    assertEquals("HTTP/1.1 200", it.getInputStream().bufferedReader().readLine().trim())
+                }
+                assertFalse(path.caller().use { it.send(REQUEST).rest() }.startsWith("HTTP/"))
+            }
+        }
+    }
+
+    private companion object {
+        const val REQUEST = "GET /a HTTP/1.1\r\nHost: counter\r\n\r\n"
+    }
+}
--- a/entry/src/test/kotlin/io/poplarwood/entry/operator/OperatorServerSpec.kt
+++ b/entry/src/test/kotlin/io/poplarwood/entry/operator/OperatorServerSpec.kt
@@ -3,10 +3,10 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.getError
-import io.ktor.network.tls.certificates.buildKeyStore
 import io.poplarwood.api.id.ServiceName
 import io.poplarwood.entry.settings.OperatorListener
 import io.poplarwood.entry.settings.TlsFiles
+import io.poplarwood.entry.support.Certificates
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
@@ -19,10 +19,7 @@
 import java.nio.file.Files
 import java.nio.file.Path
 import java.security.cert.X509Certificate
-import java.util.Base64
-import javax.net.ssl.SSLContext
 import javax.net.ssl.SSLSocket
-import javax.net.ssl.X509TrustManager
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
@@ -118,10 +115,10 @@
         @Test
         fun `uses new files for new connections and keeps the old ones when the new are bad`() {
             val files = TlsFiles(directory.resolve("key.pem").toString(), directory.resolve("cert.pem").toString())
-            val first = writePem(files)
+            val first = Certificates.write(files)
             start(files)
             assertEquals(first, presented())
-            val second = writePem(files)
+            val second = Certificates.write(files)
             assertEquals(second, presented())
             Files.writeString(Path.of(files.certificate), "half a cert")
             assertEquals(second, presented())
@@ -147,27 +144,9 @@
         return HttpClient.newHttpClient().send(request.build(), BodyHandlers.discarding()).statusCode()
     }
 
-    private fun writePem(files: TlsFiles): X509Certificate {
-        val store = buildKeyStore { certificate("a") { password = "p" } }
-
-        fun pem(kind: String, bytes: ByteArray) =
-            "-----BEGIN $kind-----\n${Base64.getMimeEncoder().encodeToString(bytes)}\n-----END $kind-----\n"
-        Files.writeString(Path.of(files.key), pem("PRIVATE KEY", store.getKey("a", "p".toCharArray()).encoded))
-        Files.writeString(Path.of(files.certificate), pem("CERTIFICATE", store.getCertificate("a").encoded))
-        return store.getCertificate("a") as X509Certificate
-    }
-
     private fun presented(): X509Certificate {
-        val trustAll = object : X509TrustManager {
-            override fun checkClientTrusted(chain: Array<X509Certificate>, type: String) = Unit
-
-            override fun checkServerTrusted(chain: Array<X509Certificate>, type: String) = Unit
-
-            override fun getAcceptedIssuers(): Array<X509Certificate> = emptyArray()
-        }
-        val context = SSLContext.getInstance("TLS").apply { init(null, arrayOf(trustAll), null) }
         val port = checkNotNull(server).port
-        return (context.socketFactory.createSocket("127.0.0.1", port) as SSLSocket).use {
+        return (Certificates.trustingAll.createSocket("127.0.0.1", port) as SSLSocket).use {
             it.startHandshake()
             it.session.peerCertificates.first() as X509Certificate
         }
