--- a/decision/src/main/kotlin/io/poplarwood/decision/routing/LatencyEvidence.kt
+++ b/decision/src/main/kotlin/io/poplarwood/decision/routing/LatencyEvidence.kt
@@ -59,9 +59,9 @@
 
         /** Times the median from which an upstream is slow: between noise of ten exponential answers and threefold. */
         const val SLOW = 1.8
-        private const val RECENT_MICROS = 1_000_000L
+        private const val RECENT_MICROS = 3_000_000L
 
         /** Part of the distance to the median that evidence without answers loses per tick of 100 ms. */
-        private const val FADE = 0.04
+        private const val FADE = 0.02
     }
 }
