Serve the platform's callers through a gateway of its own, thin but whole

Cause: the present entry keeps desired state, membership and keys by means that the platform replaces, its warm-up burned 6.4 s of a start, and its engines leave the late, extra and early answers that the platform's upstreams give to us. An entry for the platform needs routes by prefix, kinds, splits and a desired state from a store.

--- a/cli/src/main/kotlin/io/poplarwood/cli/CommandLine.kt
+++ b/cli/src/main/kotlin/io/poplarwood/cli/CommandLine.kt
@@ -17,6 +17,7 @@
 import io.poplarwood.cli.command.DemoCommand
 import io.poplarwood.cli.command.EntryCommand
 import io.poplarwood.cli.command.ExplainCommand
+import io.poplarwood.cli.command.GatewayCommand
 import io.poplarwood.cli.command.PoplarwoodCommand
 import io.poplarwood.cli.command.StatusCommand
 import io.poplarwood.cli.command.SwitchCommand
@@ -48,6 +49,7 @@
     private fun root(): CliktCommand = PoplarwoodCommand().subcommands(
         DemoCommand(wiring.entries),
         EntryCommand(wiring.runEntry),
+        GatewayCommand(),
         CheckCommand(),
         ClassesCommand().subcommands(ClassesListCommand(), ClassesSetCommand(), ClassesHistoryCommand()),
         StatusCommand(),
--- /dev/null
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/RepeatBudget.kt
@@ -0,0 +1,55 @@
+package io.poplarwood.gateway.decision
+
+import io.poplarwood.api.id.ServiceName
+import kotlin.time.Duration
+
+/**
+ * Limits what this entry sends beyond the first attempt of each request, for each service over a sliding window.
+ *
+ * The limit of all entries together is a share of the requests plus a fixed slack. Each entry keeps to that share of
+ * its own requests plus its part of the slack, so the sum holds whatever entries know of each other, as long as none
+ * counts fewer entries than there are.
+ *
+ * @param ratio further attempts allowed for each request
+ * @param slack further attempts in a window allowed to all entries together
+ * @param entries number of entries that share the slack
+ */
+internal class RepeatBudget(
+    private val ratio: Double,
+    private val slack: Double,
+    private val window: Duration,
+    private val entries: () -> Int,
+) {
+    private val counts = HashMap<ServiceName, Counts>()
+
+    /** Notes a request for [service]. */
+    fun request(service: ServiceName, now: Duration) {
+        counts.getOrPut(service) { Counts() }.requests.add(now)
+    }
+
+    /** Takes one further attempt at [service] out of the budget; false when there is none left. */
+    fun take(service: ServiceName, now: Duration): Boolean {
+        val count = counts.getOrPut(service) { Counts() }
+        if (count.repeats.sum(now) + 1 > ratio * count.requests.sum(now) + slack * OWN_SLACK / entries()) return false
+        count.repeats.add(now)
+        return true
+    }
+
+    /** Share of the budget of [service] that is used, 0 to 1. */
+    fun used(service: ServiceName, now: Duration): Double {
+        val count = counts[service] ?: return 0.0
+        return count.repeats.sum(now) / (ratio * count.requests.sum(now) + slack * OWN_SLACK / entries())
+    }
+
+    private inner class Counts {
+        val requests = SlidingCount(window)
+
+        // A repeat that left its window of this entry a bucket early would count twice in one of the others'.
+        val repeats = SlidingCount(window * (1 + 1.0 / SlidingCount.BUCKETS))
+    }
+
+    private companion object {
+        /** A restarted entry does not know what its earlier run spent. */
+        const val OWN_SLACK = 0.5
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/ChannelAwait.kt
@@ -0,0 +1,15 @@
+package io.poplarwood.gateway.http
+
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
+import kotlinx.coroutines.suspendCancellableCoroutine
+import kotlin.coroutines.resume
+import kotlin.coroutines.resumeWithException
+
+/** The channel once the operation is done; throws what made it fail. */
+internal suspend fun ChannelFuture.awaitChannel(): Channel = suspendCancellableCoroutine { continuation ->
+    addListener {
+        if (!continuation.isActive) return@addListener
+        if (it.isSuccess) continuation.resume(channel()) else continuation.resumeWithException(it.cause())
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/HeaderNames.kt
@@ -0,0 +1,20 @@
+package io.poplarwood.gateway.http
+
+/**
+ * Names of the headers that the system reads or sets, as callers and upstreams spell them.
+ *
+ * @property requestId identifies one request of one caller; upstreams echo it
+ * @property deadlineMs milliseconds that the caller, or the upstream, has left
+ * @property expectUpstream id of the only upstream that may run the request
+ * @property signature the upstream's proof that it made the answer
+ * @property notExecuted on answers of upstreams that did not run the request
+ * @property load load of the upstream at the time of its answer
+ */
+data class HeaderNames(
+    val requestId: String,
+    val deadlineMs: String,
+    val expectUpstream: String,
+    val signature: String,
+    val notExecuted: String,
+    val load: String,
+)
--- /dev/null
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/InternalListener.kt
@@ -0,0 +1,74 @@
+package io.poplarwood.gateway.http
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+
+/** A listener of the entry itself at [address]: readiness, directory, peers or metrics. Answers GET with [answer]. */
+internal class InternalListener(
+    private val group: EventLoopGroup,
+    private val address: String,
+    private val answer: (target: String) -> InternalReply,
+) {
+    /** Binds the listener. */
+    suspend fun start() {
+        val initializer = object : ChannelInitializer<Channel>() {
+            override fun initChannel(ch: Channel) {
+                ch.pipeline().addLast(HttpServerCodec(), HttpObjectAggregator(MAX_REQUEST_BYTES), Handler())
+            }
+        }
+        ServerBootstrap().group(group).channel(NioServerSocketChannel::class.java)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(initializer)
+            .bind(UpstreamLinks.socketAddress(address)).awaitChannel()
+    }
+
+    private inner class Handler : SimpleChannelInboundHandler<FullHttpRequest>() {
+        override fun channelRead0(ctx: ChannelHandlerContext, msg: FullHttpRequest) {
+            val reply = if (msg.decoderResult().isFailure) {
+                InternalReply(
+                    MALFORMED,
+                    TEXT,
+                    ByteArray(0),
+                )
+            } else {
+                answer(msg.uri())
+            }
+            val content = Unpooled.wrappedBuffer(reply.body)
+            val status = HttpResponseStatus.valueOf(reply.status)
+            val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content)
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, reply.contentType)
+            HttpUtil.setContentLength(response, reply.body.size.toLong())
+            val keep = HttpUtil.isKeepAlive(msg)
+            HttpUtil.setKeepAlive(response, keep)
+            val written = ctx.writeAndFlush(response)
+            if (!keep) written.addListener(ChannelFutureListener.CLOSE)
+        }
+
+        override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
+            ctx.close()
+        }
+    }
+
+    private companion object {
+        const val MAX_REQUEST_BYTES = 64 * 1024
+        const val MALFORMED = 400
+        const val TEXT = "text/plain"
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
@@ -0,0 +1,83 @@
+package io.poplarwood.gateway.log
+
+import org.slf4j.event.Level
+
+/**
+ * Everything that a gateway logs; docs/events.md lists it. Numbers 6000 to 6099 are the lifecycle, 6100 to 6199 the
+ * store and what was learnt from it, 6200 to 6299 requests, 6300 to 6399 upstreams, 6400 to 6499 peers.
+ *
+ * @property number stands for the event for good; it is not used again when the event goes
+ * @property fields names of the values that each record carries
+ */
+internal enum class GatewayEvent(
+    val number: Int,
+    val level: Level,
+    val meaning: String,
+    vararg val fields: String,
+) {
+    STARTED(6001, Level.INFO, "the process started", "entry", "zone", "callers", "sinceStartMs"),
+    READY(6002, Level.INFO, "the entry takes requests", "version", "upstreams", "source", "sinceStartMs"),
+    FIRST_ANSWER(6003, Level.INFO, "the first request was answered", "sinceStartMs"),
+    STOPPING(6004, Level.INFO, "a planned stop began", "inFlight", "graceMs"),
+    STOPPED(6005, Level.INFO, "a planned stop ended", "inFlight", "tookMs"),
+    RELOADED(6006, Level.INFO, "the settings were read again", "changed"),
+    FAILED(6007, Level.ERROR, "a part of the process failed and was started again", "part", "error"),
+    STORE_LOST(6101, Level.WARN, "the store does not answer", "topic", "error", "knownVersion"),
+    STORE_BACK(6102, Level.INFO, "the store answers again", "topic", "awayMs"),
+    STATE_IN_FORCE(6103, Level.INFO, "a desired state came into force", "version", "routes", "source", "storeVersion"),
+    STATE_UNREADABLE(
+        6104,
+        Level.WARN,
+        "a desired state cannot be read; the earlier one holds",
+        "detail",
+        "storeVersion",
+    ),
+    UPSTREAM_KNOWN(
+        6301,
+        Level.INFO,
+        "an upstream registered",
+        "upstream",
+        "service",
+        "address",
+        "draining",
+        "storeVersion",
+    ),
+    UPSTREAM_GONE(6302, Level.INFO, "an upstream takes no more work", "upstream", "service", "reason", "storeVersion"),
+    UPSTREAM_UNREADABLE(6303, Level.WARN, "a registration cannot be read; it is left out", "upstream", "detail"),
+    UPSTREAM_RESTS(6304, Level.WARN, "an upstream gets no work for a while", "upstream", "failures", "forMs"),
+    UPSTREAM_BACK(6305, Level.INFO, "an upstream answers again", "upstream"),
+    ANSWERED(6201, Level.INFO, "a request was answered by an upstream", *Fields.REQUEST),
+    REFUSED(6202, Level.INFO, "a request was refused and has not run", *Fields.REQUEST),
+    UNKNOWN(6203, Level.WARN, "a request may have run and has no answer", *Fields.REQUEST),
+    LEFT(6204, Level.INFO, "a caller left before its answer", *Fields.REQUEST),
+    LINES_DROPPED(6205, Level.WARN, "lines about requests were left out to bound the volume", "count"),
+    CRASH_SUSPECT(
+        6206,
+        Level.WARN,
+        "upstreams were lost while they ran requests of one kind",
+        "fingerprint",
+        "upstream",
+    ),
+    PEER_SEEN(6401, Level.INFO, "another entry was heard", "peer", "address"),
+    PEER_SILENT(6402, Level.WARN, "another entry is silent", "peer", "silentMs"),
+    PEER_LEAVING(6403, Level.INFO, "another entry is stopping", "peer"),
+    ;
+
+    /** Identifier as it is logged, such as `PW-6001`. */
+    val id: String get() = "PW-$number"
+
+    private object Fields {
+        val REQUEST = arrayOf(
+            "requestId",
+            "route",
+            "service",
+            "status",
+            "reason",
+            "tookMs",
+            "waitedMs",
+            "attempts",
+            "trail",
+            "version",
+        )
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/LoadBoard.kt
@@ -0,0 +1,81 @@
+package io.poplarwood.gateway.peer
+
+import io.poplarwood.api.id.EntryId
+import io.poplarwood.api.time.Ticker
+import io.poplarwood.gateway.upstream.UpstreamRow
+import io.poplarwood.gateway.upstream.UpstreamTable
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * What entries tell each other of the load of upstreams: how many requests each has where, and how slow upstreams are.
+ *
+ * @param wake called when there is something to send and nothing was before
+ * @param crash sends news of a lost upstream at once
+ */
+internal class LoadBoard(
+    private val upstreams: UpstreamTable,
+    private val ticker: Ticker,
+    private val wake: () -> Unit,
+    private val crash: (fingerprint: Long, upstream: String) -> Unit,
+) {
+    private val pending = LinkedHashMap<String, Int>()
+    private var servedAt = -Duration.INFINITE
+
+    /** Whether this entry served requests lately; the news of others matter only then. */
+    val active: Boolean get() = ticker.now() - servedAt < ACTIVE
+
+    /** Notes that a request arrived here. */
+    fun served() {
+        servedAt = ticker.now()
+    }
+
+    /** Notes that the number of own requests at [row] changed. */
+    fun changed(row: UpstreamRow) {
+        note(row, 0)
+    }
+
+    /** Notes what [row] told of its slowness. */
+    fun slowness(row: UpstreamRow, value: Double, now: Duration) {
+        row.noteSlowness(value, now)
+        note(row, (value * PERCENT).toInt())
+    }
+
+    /** Notes that [upstream] was lost while it ran a request with [fingerprint]. */
+    fun crashed(fingerprint: Long, upstream: String) = crash(fingerprint, upstream)
+
+    /** News since the last call. */
+    fun take(): List<UpstreamLoad> {
+        val news = pending.map { (id, slowness) -> UpstreamLoad(id, upstreams[id]?.ownInFlight ?: 0, slowness) }
+        pending.clear()
+        return news
+    }
+
+    /** All own requests at upstreams. */
+    fun whole(): List<UpstreamLoad> =
+        upstreams.all.filter { it.ownInFlight > 0 }.map { UpstreamLoad(it.id, it.ownInFlight, 0) }
+
+    /** Takes in news of [entry]; with [whole], it has nothing at upstreams that are not named. */
+    fun receive(entry: String, load: List<UpstreamLoad>, whole: Boolean) {
+        val id = EntryId(entry)
+        val now = ticker.now()
+        if (whole) upstreams.forget(id)
+        for (news in load) {
+            val row = upstreams[news.upstream] ?: continue
+            row.setOther(id, news.inFlight)
+            if (news.slowness > 0) row.noteSlowness(news.slowness / PERCENT, now)
+        }
+    }
+
+    private fun note(row: UpstreamRow, slowness: Int) {
+        val first = pending.isEmpty()
+        val known = pending[row.id] ?: 0
+        pending[row.id] = if (slowness > 0) slowness else known
+        if (first) wake()
+    }
+
+    private companion object {
+        val ACTIVE = 2.seconds
+        const val PERCENT = 100.0
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerSocket.kt
@@ -0,0 +1,64 @@
+package io.poplarwood.gateway.peer
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.DatagramPacket
+import io.netty.channel.socket.nio.NioDatagramChannel
+import io.poplarwood.gateway.http.UpstreamLinks
+import io.poplarwood.gateway.http.awaitChannel
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.decodeFromByteArray
+import kotlinx.serialization.encodeToByteArray
+import java.net.InetSocketAddress
+
+/** Sends and receives datagrams of entries at [address]; what cannot be read is passed to [unreadable] and dropped. */
+internal class PeerSocket(
+    private val group: EventLoopGroup,
+    private val address: String,
+    private val received: (PeerMessage) -> Unit,
+    private val unreadable: () -> Unit,
+) {
+    private val cbor = Cbor { ignoreUnknownKeys = true }
+    private val addresses = HashMap<String, InetSocketAddress>()
+    private var channel: Channel? = null
+
+    /** Binds the socket. */
+    suspend fun start() {
+        val handler = object : SimpleChannelInboundHandler<DatagramPacket>() {
+            override fun channelRead0(ctx: ChannelHandlerContext, msg: DatagramPacket) = decode(msg)
+
+            // An unreachable peer is found by its silence.
+            override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) = Unit
+        }
+        channel = Bootstrap().group(group).channel(NioDatagramChannel::class.java).handler(handler)
+            .bind(UpstreamLinks.socketAddress(address)).awaitChannel()
+    }
+
+    /** Sends [message] to each of [peers], given as `ip:port`. */
+    fun send(message: PeerMessage, peers: Iterable<String>) {
+        val socket = channel ?: return
+        val bytes = cbor.encodeToByteArray<PeerMessage>(message)
+        for (peer in peers) {
+            val to = addresses.getOrPut(peer) { UpstreamLinks.socketAddress(peer) }
+            socket.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), to))
+        }
+        socket.flush()
+    }
+
+    private fun decode(packet: DatagramPacket) {
+        val bytes = ByteArray(packet.content().readableBytes())
+        packet.content().readBytes(bytes)
+        try {
+            received(cbor.decodeFromByteArray<PeerMessage>(bytes))
+        } catch (e: SerializationException) {
+            unreadable()
+        } catch (e: IllegalArgumentException) {
+            unreadable()
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerTable.kt
@@ -0,0 +1,59 @@
+package io.poplarwood.gateway.peer
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * The other entries. One is silent when nothing was heard for a while; it is still greeted for longer, so that two
+ * entries that were cut off from each other meet again.
+ */
+internal class PeerTable(private val self: String) {
+    private val rows = LinkedHashMap<String, PeerRow>()
+
+    val all: Collection<PeerRow> get() = rows.values
+
+    /** Peers heard lately. */
+    val live: List<PeerRow> get() = rows.values.filter { !it.silent }
+
+    /** The row of [name]. */
+    operator fun get(name: String): PeerRow? = rows[name]
+
+    /** Takes over what the store says of [name]. */
+    fun know(name: String, record: PeerRecord, now: Duration) {
+        if (name == self) return
+        val row = rows.getOrPut(name) { PeerRow(name, record).also { it.heardAt = now } }
+        if (row.silent) row.record = record
+    }
+
+    /** Takes over a hello; true when the peer was silent or unknown before. */
+    fun heard(hello: PeerMessage.Hello, now: Duration): Boolean {
+        if (hello.from == self) return false
+        val record = PeerRecord(hello.zone, hello.callers, hello.peers)
+        val row = rows.getOrPut(hello.from) { PeerRow(hello.from, record) }
+        row.record = record
+        row.hello = hello
+        row.heardAt = now
+        return row.silent.also { row.silent = false }
+    }
+
+    /** Peers that have just become silent. */
+    fun silence(now: Duration): List<PeerRow> {
+        rows.values.removeIf { it.silent && now - it.heardAt > FORGOTTEN }
+        val lost = rows.values.filter { !it.silent && now - it.heardAt > SILENT }
+        lost.forEach { it.silent = true }
+        return lost
+    }
+
+    /** Entries that may share a budget now, this one included: those heard, or known and not yet forgotten. */
+    fun sharing(now: Duration): Int = 1 + rows.values.count { now - it.heardAt < SHARES }
+
+    private companion object {
+        /** Several hellos may be lost in a row on a bad path. */
+        val SILENT = 1_000.milliseconds
+        val FORGOTTEN = 60.seconds
+
+        /** The window of shared budgets and a margin. */
+        val SHARES = 12.seconds
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/route/CallerLimits.kt
@@ -0,0 +1,12 @@
+package io.poplarwood.gateway.route
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** What a caller may send, and how long it may take or stay idle. */
+data class CallerLimits(
+    val maxHeaderBytes: Int = 16 * 1024,
+    val maxBodyBytes: Long = 64L * 1024 * 1024,
+    val headerTimeout: Duration = 3.seconds,
+    val idleTimeout: Duration = 15.seconds,
+)
--- /dev/null
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/route/DesiredState.kt
@@ -0,0 +1,13 @@
+package io.poplarwood.gateway.route
+
+import io.poplarwood.api.id.ServiceName
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.ImmutableMap
+
+/** One version of what operators want; replaced as a whole. */
+data class DesiredState(
+    val version: Long,
+    val services: ImmutableMap<ServiceName, ServiceSpec>,
+    val routes: ImmutableList<Route>,
+    val limits: CallerLimits,
+)
--- /dev/null
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/route/RouteTable.kt
@@ -0,0 +1,19 @@
+package io.poplarwood.gateway.route
+
+/** Finds the route of a request: of its host's routes, the one with the longest prefix that begins the path. */
+internal class RouteTable(routes: List<Route>) {
+    private val byHost: Map<String, Map<String, Route>> =
+        routes.groupBy { it.host.lowercase() }.mapValues { (_, list) -> list.associateBy(Route::prefix) }
+
+    /** The route for [path], which may carry a query, at [host], which may carry a port; null when none matches. */
+    fun find(host: String, path: String): Route? {
+        val prefixes = byHost[host.substringBefore(':').lowercase()] ?: return null
+        val plain = path.substringBefore('?')
+        var end = plain.lastIndexOf('/')
+        while (end >= 0) {
+            prefixes[plain.substring(0, end + 1)]?.let { return it }
+            end = if (end == 0) -1 else plain.lastIndexOf('/', end - 1)
+        }
+        return null
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -0,0 +1,248 @@
+package io.poplarwood.gateway.runtime
+
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.poplarwood.api.id.Zone
+import io.poplarwood.api.random.Randomness
+import io.poplarwood.api.time.Ticker
+import io.poplarwood.gateway.adapter.Adapter
+import io.poplarwood.gateway.decision.Placement
+import io.poplarwood.gateway.decision.RepeatBudget
+import io.poplarwood.gateway.directory.Directory
+import io.poplarwood.gateway.http.BodyMemory
+import io.poplarwood.gateway.http.CallerListener
+import io.poplarwood.gateway.http.HttpCaller
+import io.poplarwood.gateway.http.InternalListener
+import io.poplarwood.gateway.http.InternalReply
+import io.poplarwood.gateway.http.UpstreamLinks
+import io.poplarwood.gateway.log.EventLog
+import io.poplarwood.gateway.log.GatewayEvent
+import io.poplarwood.gateway.metrics.GatewayMetrics
+import io.poplarwood.gateway.peer.LoadBoard
+import io.poplarwood.gateway.peer.PeerRecord
+import io.poplarwood.gateway.peer.PeerSync
+import io.poplarwood.gateway.peer.PeerTable
+import io.poplarwood.gateway.peer.Peers
+import io.poplarwood.gateway.route.CallerLimits
+import io.poplarwood.gateway.route.SplitPicker
+import io.poplarwood.gateway.settings.GatewaySettings
+import io.poplarwood.gateway.store.StateBook
+import io.poplarwood.gateway.store.StateWatcher
+import io.poplarwood.gateway.store.Topic
+import io.poplarwood.gateway.upstream.UpstreamTable
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * One gateway: listeners, decisions, peers and the store, wired together on one event loop. Everything but the log's
+ * writer runs on that loop, so no state needs a lock.
+ *
+ * @param sinceStart time since the process began
+ */
+class GatewayProcess(
+    private val settings: GatewaySettings,
+    adapter: Adapter,
+    private val ticker: Ticker,
+    private val random: Randomness,
+    private val sinceStart: () -> Duration,
+) {
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val loop = group.next()
+    private val scope = CoroutineScope(SupervisorJob() + loop.asCoroutineDispatcher())
+    private val log = EventLog()
+    private val metrics = GatewayMetrics()
+    private val caller = HttpCaller(group)
+    private val store = adapter.store(caller, settings.store)
+    private val upstreams = UpstreamTable()
+    private val peerTable = PeerTable(settings.entry)
+    private val splits = SplitPicker(random::nextDouble)
+    private val decisions = Decisions(
+        upstreams,
+        Placement(Zone(settings.zone), random),
+        RepeatBudget(
+            settings.bounds.repeatRatio,
+            settings.bounds.repeatSlack,
+            settings.bounds.repeatWindowS.seconds,
+            { peerTable.sharing(ticker.now()) },
+        ),
+        splits,
+    )
+    private val links = UpstreamLinks(group, adapter.headers, ticker, metrics::connected)
+    private val book: StateBook = StateBook(adapter.codec, upstreams, ticker, log, ::stateChanged) {
+        links.closeIdle(it.record.address)
+    }
+    private val record = PeerRecord(settings.zone, settings.listen.callers, settings.listen.peers)
+    private val peers =
+        Peers(group, settings.entry, record, peerTable, upstreams, book, decisions.crashes, ticker, log, ::pump)
+    private val loads = LoadBoard(upstreams, ticker, ::loadsChanged, peers::sendCrash).also { peers.loads = it }
+    private val sync = PeerSync(caller, peerTable, book, ticker)
+    private val register = EntryRegister(store, settings.entry, record, peerTable, ticker, log)
+    private val flow =
+        RequestFlow(book, decisions, links, loads, ticker, metrics, RequestLog(log, metrics, ticker), log)
+    private val directory =
+        Directory(settings.zone, settings.listen.callers, peerTable, settings.bounds.directoryLifetimeS.seconds)
+    private val listener = CallerListener(
+        group,
+        settings.listen.callers,
+        scope,
+        ticker,
+        adapter.headers,
+        BodyMemory(settings.limits.memoryMb * BODY_SHARE_BYTES),
+        { book.state?.limits ?: CallerLimits() },
+        flow::serve,
+    )
+    private val endpoints = adapter.endpoints
+    private val began = ticker.now()
+    private var stopping = false
+    private val serving: Boolean get() = book.state != null && upstreams.all.isNotEmpty() && !stopping
+
+    /** Opens the listeners and begins to follow the store and the peers. */
+    suspend fun start() = withContext(scope.coroutineContext) {
+        flow.onFirstAnswer = { log.log(GatewayEvent.FIRST_ANSWER, sinceStart().inWholeMilliseconds) }
+        keep("state") { follow(Topic.DESIRED_STATE) }
+        keep("upstreams") { follow(Topic.UPSTREAMS) }
+        keep("entries") { register.run() }
+        listener.start()
+        InternalListener(group, settings.listen.readiness, ::readiness).start()
+        InternalListener(group, settings.listen.directory, ::directoryAnswer).start()
+        InternalListener(group, settings.listen.peers) { sync.answer() }.start()
+        InternalListener(group, settings.listen.metrics) { InternalReply(OK, "text/plain", metrics.text()) }.start()
+        peers.start()
+        keep("greetings") { greet() }
+        keep("sync") { every(SYNC) { sync.tick() } }
+        keep("tick") { every(TICK) { tick() } }
+        val started = sinceStart().inWholeMilliseconds
+        log.log(GatewayEvent.STARTED, settings.entry, settings.zone, settings.listen.callers, started)
+    }
+
+    /**
+     * Ends service without cutting a request: callers are sent elsewhere at once, those that still come are served for
+     * a while, and the last request in flight is awaited as long as the bound on a planned stop allows.
+     */
+    suspend fun stop() = withContext(scope.coroutineContext) {
+        val grace = settings.bounds.graceS.seconds
+        val from = ticker.now()
+        log.log(GatewayEvent.STOPPING, flow.inFlight, grace.inWholeMilliseconds)
+        stopping = true
+        peers.stopping = true
+        peers.hello()
+        listener.closesAfterAnswer = true
+        while (ticker.now() - from < grace * ACCEPT_SHARE) {
+            delay(STOP_STEP)
+            if (ticker.now() - from > grace * QUIET_SHARE) listener.closeQuiet()
+        }
+        flow.refusing = true
+        listener.close()
+        while (ticker.now() - from < grace - STOP_MARGIN && flow.inFlight > 0) {
+            delay(STOP_STEP)
+            listener.closeQuiet()
+        }
+        log.log(GatewayEvent.STOPPED, flow.inFlight, (ticker.now() - from).inWholeMilliseconds)
+    }
+
+    /** Closes everything at once. */
+    fun close() {
+        scope.cancel()
+        group.shutdownGracefully(0, 0, java.util.concurrent.TimeUnit.MILLISECONDS)
+    }
+
+    private suspend fun follow(topic: Topic) {
+        val watcher = StateWatcher(topic, store, book, ticker, random, log)
+        watcher.readWhole()
+        watcher.follow()
+    }
+
+    private suspend fun greet() = every(HELLO) { peers.hello() }
+
+    private fun tick() {
+        book.tick()
+        links.closeExpired()
+        pump()
+    }
+
+    private fun pump() = decisions.pump(ticker.now())
+
+    private fun loadsChanged() {
+        loop.schedule({ peers.sendLoads() }, LOAD_NEWS.inWholeMilliseconds, java.util.concurrent.TimeUnit.MILLISECONDS)
+    }
+
+    private fun stateChanged() {
+        splits.reset()
+        pump()
+        if (peers.serving || !serving) return
+        peers.serving = true
+        val ms = sinceStart().inWholeMilliseconds
+        log.log(GatewayEvent.READY, book.state?.version, upstreams.all.size, "store", ms)
+        peers.hello()
+    }
+
+    private fun readiness(target: String): InternalReply = when {
+        !endpoints.asksReadiness(target) -> InternalReply(NOT_FOUND, TEXT, ByteArray(0))
+        serving -> InternalReply(OK, TEXT, ByteArray(0))
+        else -> InternalReply(UNAVAILABLE, TEXT, ByteArray(0))
+    }
+
+    private fun directoryAnswer(target: String): InternalReply {
+        val question = endpoints.directoryQuestion(target) ?: return InternalReply(NOT_FOUND, TEXT, ByteArray(0))
+        val entries = directory.entriesFor(question.zone, serving, ticker.now() - began)
+        if (entries.isEmpty()) return InternalReply(UNAVAILABLE, TEXT, ByteArray(0))
+        return InternalReply(OK, "application/json", endpoints.directoryAnswer(entries, directory.lifetime))
+    }
+
+    /** Runs [part] and starts it again when it fails. */
+    private fun keep(part: String, work: suspend () -> Unit) = scope.launch {
+        while (true) {
+            try {
+                work()
+                return@launch
+            } catch (e: kotlinx.coroutines.CancellationException) {
+                throw e
+            } catch (e: Exception) {
+                log.log(GatewayEvent.FAILED, part, e.stackTraceToString())
+                delay(RESTART)
+            }
+        }
+    }
+
+    private suspend fun every(period: Duration, work: suspend () -> Unit) {
+        while (true) {
+            work()
+            delay(period)
+        }
+    }
+
+    private companion object {
+        const val OK = 200
+        const val NOT_FOUND = 404
+        const val UNAVAILABLE = 503
+        const val TEXT = "text/plain"
+
+        /** Bytes of request bodies held at once, for each megabyte of the VM. */
+        const val BODY_SHARE_BYTES = 160L * 1024
+        val HELLO = 250.milliseconds
+        val SYNC = 200.milliseconds
+
+        /** How often waits are looked at; slots that become free are given out at once. */
+        val TICK = 10.milliseconds
+
+        /** News of load are gathered for this long. */
+        val LOAD_NEWS = 2.milliseconds
+        val RESTART = 200.milliseconds
+        val STOP_STEP = 20.milliseconds
+
+        /** Shares of the bound on a planned stop: idle connections end, new requests are refused. */
+        const val QUIET_SHARE = 0.4
+        const val ACCEPT_SHARE = 0.5
+
+        /** The process must have ended before it is killed. */
+        val STOP_MARGIN = 400.milliseconds
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
@@ -0,0 +1,283 @@
+package io.poplarwood.gateway.runtime
+
+import io.poplarwood.api.id.ServiceName
+import io.poplarwood.gateway.decision.SlotDecision
+import io.poplarwood.gateway.decision.SlotRequest
+import io.poplarwood.gateway.http.Answer
+import io.poplarwood.gateway.http.AttemptResult
+import io.poplarwood.gateway.http.CallerRequest
+import io.poplarwood.gateway.http.HopHeaders
+import io.poplarwood.gateway.http.LossCause
+import io.poplarwood.gateway.http.NotExecutedCause
+import io.poplarwood.gateway.http.Outbound
+import io.poplarwood.gateway.metrics.RepeatReason
+import io.poplarwood.gateway.route.Route
+import io.poplarwood.gateway.upstream.UpstreamRow
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.cancelChildren
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.suspendCancellableCoroutine
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * The attempts of one request.
+ *
+ * A request that may have run is sent again only if its route allows it. Every attempt beyond the first is taken out
+ * of the budget that all entries share.
+ */
+internal class RequestRun(
+    private val flow: RequestFlow,
+    private val request: CallerRequest,
+    private val route: Route,
+    private val service: ServiceName,
+    private val report: RequestReport,
+) {
+    private val ticker = flow.ticker
+    private val decisions = flow.decisions
+    private val deadline = request.arrived + minOf(request.patience ?: route.timeout, route.timeout)
+    private val aim = request.arrived + route.target
+    private val tried = HashSet<String>()
+    private val running = ArrayList<Attempt>(2)
+    private val finished = ArrayDeque<Attempt>()
+    private val signal = Channel<Unit>(Channel.CONFLATED)
+    private var sent = 0
+    private var unsent = 0
+    private var mayHaveRun = false
+    private var failure: AttemptResult.Answered? = null
+
+    /** Runs the request to its end. */
+    suspend fun run(): RequestEnd = coroutineScope {
+        try {
+            firstAttempt() ?: attempts()
+        } finally {
+            coroutineContext.cancelChildren()
+        }
+    }
+
+    /** Starts the first attempt; the end of the request when there is none to make. */
+    private suspend fun CoroutineScope.firstAttempt(): RequestEnd? {
+        val decision = withTimeoutOrNull(deadline - ticker.now()) { place() }
+        report.waited = ticker.now() - request.arrived
+        return when (decision) {
+            null -> refuse(Outcome.EXPIRED, RETRY_SOON)
+            is SlotDecision.Full -> refuse(Outcome.FULL, decision.retryAfter)
+            SlotDecision.NoUpstream -> refuse(Outcome.NO_UPSTREAM, RETRY_NO_UPSTREAM)
+            is SlotDecision.Granted -> {
+                start(decision.row)
+                null
+            }
+        }
+    }
+
+    private suspend fun CoroutineScope.attempts(): RequestEnd {
+        while (true) {
+            val attempt = finished.removeFirstOrNull()
+            if (attempt != null) {
+                after(attempt)?.let { return it }
+                continue
+            }
+            val now = ticker.now()
+            if (now >= deadline) return timedOut()
+            val wake = minOf(deadline, secondAttemptAt(now))
+            withTimeoutOrNull(wake - now) { signal.receive() }
+            if (finished.isEmpty()) considerSecond()
+        }
+    }
+
+    /** Decides what follows an attempt that ended; null while the request goes on. */
+    private suspend fun CoroutineScope.after(attempt: Attempt): RequestEnd? =
+        when (val result = checkNotNull(attempt.result)) {
+            is AttemptResult.Answered -> answered(result)
+            is AttemptResult.NotExecuted -> notExecuted(result)
+            AttemptResult.NotSent -> {
+                sent--
+                unsent++
+                again(RepeatReason.NOT_SENT) ?: ifNothingRuns { refuse(Outcome.NOT_SENT, RETRY_SOON) }
+            }
+            is AttemptResult.Lost -> {
+                mayHaveRun = true
+                val end = if (route.kind.repeatable) again(RepeatReason.LOST) else null
+                end ?: ifNothingRuns { unknown(Outcome.LOST) }
+            }
+        }
+
+    private suspend fun CoroutineScope.answered(result: AttemptResult.Answered): RequestEnd? {
+        mayHaveRun = true
+        if (result.status < FIRST_SERVER_ERROR || !route.kind.repeatable) return pass(result)
+        failure = result
+        return again(RepeatReason.FAILED) ?: ifNothingRuns { pass(result) }
+    }
+
+    private suspend fun CoroutineScope.notExecuted(result: AttemptResult.NotExecuted): RequestEnd? {
+        val reason = if (result.cause == NotExecutedCause.SHED) RepeatReason.SHED else RepeatReason.OTHER_UPSTREAM
+        return again(reason) ?: ifNothingRuns { refuse(Outcome.SHED, RETRY_SHED) }
+    }
+
+    /** Starts a further attempt when one is allowed and an upstream is there; null always, once it runs or not. */
+    private suspend fun CoroutineScope.again(reason: RepeatReason): RequestEnd? {
+        if (running.isNotEmpty() || !mayAttempt()) return null
+        val free = reason == RepeatReason.NOT_SENT
+        val now = ticker.now()
+        if (!free && !decisions.budget.take(service, now)) return null
+        val decision = withTimeoutOrNull(deadline - now) { place() } as? SlotDecision.Granted ?: return null
+        flow.metrics.repeated(reason)
+        start(decision.row)
+        return null
+    }
+
+    private fun mayAttempt() = sent < route.maxAttempts && unsent < MAX_UNSENT && ticker.now() < deadline
+
+    private inline fun ifNothingRuns(end: () -> RequestEnd): RequestEnd? =
+        if (running.isEmpty() && finished.isEmpty()) end() else null
+
+    private fun secondAttemptAt(now: Duration): Duration {
+        val first = running.singleOrNull() ?: return Duration.INFINITE
+        if (!route.kind.repeatable || !mayAttempt()) return Duration.INFINITE
+        return maxOf(first.sentAt + decisions.work.long(route), now + CHECK_SECOND)
+    }
+
+    /** Sends an idempotent request to a second upstream when its first one is slow or silent. */
+    private fun CoroutineScope.considerSecond() {
+        val first = running.singleOrNull() ?: return
+        if (!route.kind.repeatable || !mayAttempt()) return
+        val now = ticker.now()
+        val usual = decisions.work.usual(route)
+        val rows = decisions.upstreams.of(service)
+        val row = decisions.placement.free(rows, usual, tried, now) ?: return
+        val long = decisions.work.long(route)
+        if (!decisions.second.worthwhile(first.row, now - first.sentAt, usual, long, aim - now, row, now)) return
+        if (!decisions.budget.take(service, now)) return
+        flow.metrics.repeated(RepeatReason.SLOW)
+        row.ownInFlight++
+        start(row)
+    }
+
+    private suspend fun place(): SlotDecision = suspendCancellableCoroutine { continuation ->
+        val slot =
+            SlotRequest(service, route.priority, request.arrived, decisions.work.usual(route), aim, deadline, tried) {
+                continuation.resume(it) { _, value, _ -> if (value is SlotDecision.Granted) release(value.row) }
+            }
+        continuation.invokeOnCancellation { slot.cancelled = true }
+        decisions.queue(service).offer(slot, ticker.now())
+    }
+
+    private fun CoroutineScope.start(row: UpstreamRow) {
+        val now = ticker.now()
+        val attempt = Attempt(row, now, basisOf(row, now))
+        report.attempts += attempt
+        running += attempt
+        tried += row.id
+        sent++
+        flow.loads.changed(row)
+        launch {
+            try {
+                val outbound = Outbound(request, deadline - now, row.id)
+                val maxIdle = if (route.kind.repeatable) MAX_IDLE else MAX_IDLE_ONCE
+                attempt.result = flow.links.exchange(row.record.address, outbound, maxIdle)
+            } finally {
+                running -= attempt
+                release(row)
+            }
+            attempt.endedAt = ticker.now()
+            learn(attempt)
+            finished.addLast(attempt)
+            signal.trySend(Unit)
+        }
+    }
+
+    private fun release(row: UpstreamRow) {
+        row.ownInFlight--
+        flow.loads.changed(row)
+        decisions.queue(service).pump(ticker.now())
+    }
+
+    /** Takes over what the end of [attempt] shows of its upstream. */
+    private fun learn(attempt: Attempt) {
+        val row = attempt.row
+        val now = checkNotNull(attempt.endedAt)
+        when (val result = attempt.result) {
+            is AttemptResult.Answered -> {
+                result.load?.slowness?.let { flow.loads.slowness(row, it, now) }
+                decisions.crashes.answered(request.fingerprint)
+                if (result.status < FIRST_SERVER_ERROR) {
+                    decisions.suspicion.answered(row, now)
+                    decisions.work.note(route, now - attempt.sentAt, result.load?.slowness ?: 1.0)
+                } else {
+                    decisions.suspicion.failed(row)
+                }
+            }
+            is AttemptResult.NotExecuted -> {
+                result.load?.slowness?.let { flow.loads.slowness(row, it, now) }
+                if (result.cause ==
+                    NotExecutedCause.OTHER_UPSTREAM
+                ) {
+                    row.goneAt = now
+                } else {
+                    decisions.suspicion.shed(row, now)
+                }
+            }
+            is AttemptResult.Lost -> {
+                decisions.suspicion.lost(row, now)
+                if (result.cause == LossCause.CONNECTION_LOST) crashed(row, now)
+            }
+            AttemptResult.NotSent -> decisions.suspicion.lost(row, now)
+            null -> Unit
+        }
+    }
+
+    private fun crashed(row: UpstreamRow, now: Duration) {
+        if (decisions.crashes.lost(request.fingerprint, row.id, now)) flow.loads.crashed(request.fingerprint, row.id)
+    }
+
+    private fun timedOut(): RequestEnd {
+        for (attempt in running) {
+            if (ticker.now() - attempt.sentAt > SILENT) decisions.suspicion.lost(attempt.row, ticker.now())
+        }
+        return failure?.let(::pass) ?: unknown(Outcome.TIMED_OUT)
+    }
+
+    private fun pass(result: AttemptResult.Answered): RequestEnd {
+        // These statuses promise that nothing ran, which the upstream did not say.
+        if (result.status in PROMISES) return unknown(Outcome.LOST)
+        HopHeaders.strip(result.headers)
+        return RequestEnd(Outcome.ANSWERED, Answer(result.status, result.headers, result.body))
+    }
+
+    private fun refuse(outcome: Outcome, retryAfter: Duration): RequestEnd {
+        failure?.let { return pass(it) }
+        if (mayHaveRun) return unknown(Outcome.LOST)
+        return RequestEnd(outcome, RequestFlow.refusal(outcome, retryAfter))
+    }
+
+    private fun unknown(outcome: Outcome) = RequestEnd(outcome, RequestFlow.refusal(outcome))
+
+    private fun basisOf(row: UpstreamRow, now: Duration): String {
+        val age = now - row.slownessAt
+        val known = if (age.isInfinite()) "" else ",slow=${row.slowness}@${age.inWholeMilliseconds}ms"
+        return "load=${row.inFlight}/${row.record.slots}$known"
+    }
+
+    private companion object {
+        const val FIRST_SERVER_ERROR = 500
+        val PROMISES = setOf(408, 421, 429, 503)
+
+        /** Upstreams that may refuse a connection before the request is given up. */
+        const val MAX_UNSENT = 3
+
+        /** A kept connection that was idle for longer may have been forgotten on the path. */
+        val MAX_IDLE = 6.seconds
+        val MAX_IDLE_ONCE = 2.seconds
+        val CHECK_SECOND = 10.milliseconds
+
+        /** An upstream that was given less time than this and did not answer is not blamed. */
+        val SILENT = 300.milliseconds
+        val RETRY_SOON = 50.milliseconds
+        val RETRY_SHED = 30.milliseconds
+        val RETRY_NO_UPSTREAM = 300.milliseconds
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/settings/GatewaySettingsReader.kt
@@ -0,0 +1,68 @@
+package io.poplarwood.gateway.settings
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** Reads and checks the settings of a gateway: JSON with comments. */
+object GatewaySettingsReader {
+    private val json = Json {
+        ignoreUnknownKeys = true
+        allowComments = true
+        allowTrailingComma = true
+    }
+
+    /** The settings in [file], or one line for each fault. */
+    fun read(file: Path): Result<GatewaySettings, List<String>> {
+        val text = try {
+            Files.readString(file)
+        } catch (e: IOException) {
+            return Err(listOf("$file cannot be read: ${e.javaClass.simpleName}"))
+        }
+        return parse(text)
+    }
+
+    /** The settings in [text], or one line for each fault. */
+    fun parse(text: String): Result<GatewaySettings, List<String>> {
+        val settings = try {
+            json.decodeFromString(GatewaySettings.serializer(), text)
+        } catch (e: SerializationException) {
+            return Err(listOf(e.message.orEmpty().lineSequence().first()))
+        } catch (e: StackOverflowError) {
+            return Err(listOf("nested too deeply"))
+        }
+        val faults = faultsOf(settings)
+        return if (faults.isEmpty()) Ok(settings) else Err(faults)
+    }
+
+    private fun faultsOf(settings: GatewaySettings): List<String> = buildList {
+        val listen = settings.listen
+        val addresses = mapOf(
+            "listen.callers" to listen.callers,
+            "listen.readiness" to listen.readiness,
+            "listen.directory" to listen.directory,
+            "listen.peers" to listen.peers,
+            "listen.metrics" to listen.metrics,
+            "store.address" to settings.store.address,
+        )
+        for ((path, value) in addresses) {
+            if (!ADDRESS.matches(value)) add("$path is \"$value\", expected ip:port")
+        }
+        if (settings.entry.isBlank()) add("entry is empty")
+        val bounds = settings.bounds
+        val times = mapOf(
+            "bounds.graceS" to bounds.graceS,
+            "bounds.repeatWindowS" to bounds.repeatWindowS,
+            "bounds.directoryLifetimeS" to bounds.directoryLifetimeS,
+        )
+        for ((path, value) in times) if (value <= 0) add("$path is $value, expected more than 0")
+        if (bounds.repeatRatio < 0) add("bounds.repeatRatio is ${bounds.repeatRatio}, expected 0 or more")
+    }
+
+    private val ADDRESS = Regex("""\d{1,3}(\.\d{1,3}){3}:\d{1,5}""")
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateStore.kt
@@ -0,0 +1,16 @@
+package io.poplarwood.gateway.store
+
+import com.github.michaelbull.result.Result
+import kotlin.time.Duration
+
+/** The calls to the store that an entry needs. A call ends within its own timeout. */
+interface StateStore {
+    /** All rows of [topic] as of one moment. */
+    suspend fun read(topic: Topic): Result<Rows, StoreError>
+
+    /** Rows of [topic] that changed after version [after], as soon as there is one, and none after [wait]. */
+    suspend fun changes(topic: Topic, after: Long, wait: Duration): Result<Rows, StoreError>
+
+    /** Writes the row [key] of [Topic.ENTRIES]. */
+    suspend fun announce(key: String, value: ByteArray): Result<Unit, StoreError>
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateWatcher.kt
@@ -0,0 +1,107 @@
+package io.poplarwood.gateway.store
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getError
+import com.github.michaelbull.result.getOrElse
+import io.poplarwood.api.random.Randomness
+import io.poplarwood.api.time.Ticker
+import io.poplarwood.gateway.log.EventLog
+import io.poplarwood.gateway.log.GatewayEvent
+import kotlinx.coroutines.delay
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Follows one topic of the store for the [book]: one whole read, then changes. A call that fails is made again after a
+ * pause that grows, with jitter, so that a store that returns is not met by all entries at once.
+ */
+internal class StateWatcher(
+    private val topic: Topic,
+    private val store: StateStore,
+    private val book: StateBook,
+    private val ticker: Ticker,
+    private val random: Randomness,
+    private val log: EventLog,
+) {
+    private var version = 0L
+    private var lostAt: Duration? = null
+    private var pause = FIRST_PAUSE
+
+    /** Reads the topic until it succeeds once. */
+    suspend fun readWhole() {
+        while (true) {
+            val rows = succeed(store.read(topic))
+            if (rows != null) {
+                take(rows, whole = true)
+                return
+            }
+            backOff()
+        }
+    }
+
+    /** Follows changes; does not return. */
+    suspend fun follow() {
+        while (true) {
+            val result = store.changes(topic, version, WAIT)
+            if (result.getError() == StoreError.HistoryGone) {
+                readWhole()
+                continue
+            }
+            val rows = succeed(result)
+            if (rows == null) {
+                backOff()
+                continue
+            }
+            take(rows, whole = false)
+            if (rows.rows.isNotEmpty()) delay(GATHER)
+        }
+    }
+
+    private fun take(rows: Rows, whole: Boolean) {
+        when (topic) {
+            Topic.DESIRED_STATE -> book.takeState(rows, "store")
+            Topic.UPSTREAMS -> {
+                book.takeUpstreams(rows, whole, "store")
+                book.confirm(ticker.now())
+            }
+            Topic.ENTRIES -> Unit
+        }
+        version = maxOf(version, rows.version)
+    }
+
+    private fun <T> succeed(result: Result<T, StoreError>): T? {
+        val value = result.getOrElse { error ->
+            if (lostAt == null) {
+                lostAt = ticker.now()
+                log.log(GatewayEvent.STORE_LOST, topic, error, version)
+            }
+            return null
+        }
+        val lost = lostAt
+        if (lost != null) {
+            log.log(GatewayEvent.STORE_BACK, topic, (ticker.now() - lost).inWholeMilliseconds)
+            book.lapseUntil = ticker.now() + AFTER_OUTAGE
+        }
+        lostAt = null
+        pause = FIRST_PAUSE
+        return value
+    }
+
+    private suspend fun backOff() {
+        delay(pause * (HALF + random.nextDouble()))
+        pause = minOf(pause * 2, LONGEST_PAUSE)
+    }
+
+    private companion object {
+        /** Time that a call waits for a change. A connection that went silent is found when it is over. */
+        val WAIT = 2.seconds
+
+        /** Changes come in groups; those that follow shortly are fetched by one call. */
+        val GATHER = 150.milliseconds
+        val FIRST_PAUSE = 50.milliseconds
+        val LONGEST_PAUSE = 500.milliseconds
+        val AFTER_OUTAGE = 4.seconds
+        const val HALF = 0.5
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/UpstreamRow.kt
@@ -0,0 +1,67 @@
+package io.poplarwood.gateway.upstream
+
+import io.poplarwood.api.id.EntryId
+import kotlin.time.Duration
+
+/** State of one upstream at this entry. Times are readings of the entry's ticker. */
+internal class UpstreamRow(
+    record: Upstream,
+    now: Duration,
+) {
+    /** What the upstream registered last. */
+    var record: Upstream = record
+        private set
+
+    /** Requests of this entry that it holds. */
+    var ownInFlight: Int = 0
+
+    /** Requests of other entries that it holds, as they told. */
+    private val others = HashMap<EntryId, Int>()
+    private var othersTotal = 0
+
+    /** Requests that all entries together have there. */
+    val inFlight: Int get() = ownInFlight + othersTotal
+
+    /** Last known slowness and when it was learnt. */
+    var slowness: Double = 1.0
+    var slownessAt: Duration = -Duration.INFINITE
+
+    /** Consecutive attempts that brought no answer. */
+    var failures: Int = 0
+
+    /** No work before this time, except one trial. */
+    var restUntil: Duration = -Duration.INFINITE
+
+    /** Recent share of attempts that failed or were shed, each weighted by its age in attempts. */
+    var badShare: Double = 0.0
+
+    /** It answered that another upstream lives at its address, or that it is leaving. */
+    var goneAt: Duration? = null
+
+    var lastAnswerAt: Duration = -Duration.INFINITE
+
+    /** End of its slow start. */
+    var warmUntil: Duration = now + record.warmup
+        private set
+
+    val id: String get() = record.id
+    val freeSlots: Int get() = record.slots - inFlight
+
+    /** Takes over a newer registration of the same life. */
+    fun update(next: Upstream, now: Duration) {
+        record = next
+        warmUntil = now + next.warmup
+    }
+
+    /** Notes how many requests [entry] has here. */
+    fun setOther(entry: EntryId, count: Int) {
+        val before = if (count == 0) others.remove(entry) else others.put(entry, count)
+        othersTotal += count - (before ?: 0)
+    }
+
+    /** Notes a report of slowness. */
+    fun noteSlowness(value: Double, now: Duration) {
+        slowness = value
+        slownessAt = now
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/UpstreamTable.kt
@@ -0,0 +1,46 @@
+package io.poplarwood.gateway.upstream
+
+import io.poplarwood.api.id.EntryId
+import io.poplarwood.api.id.ServiceName
+import kotlin.time.Duration
+
+/** All upstreams known to this entry, one row each. Used from the entry's event loop only. */
+internal class UpstreamTable {
+    private val rows = LinkedHashMap<String, UpstreamRow>()
+    private val services = HashMap<ServiceName, MutableList<UpstreamRow>>()
+
+    val all: Collection<UpstreamRow> get() = rows.values
+
+    /** Rows of [service], draining ones included. */
+    fun of(service: ServiceName): List<UpstreamRow> = services[service].orEmpty()
+
+    /** The row of the upstream registered as [id]. */
+    operator fun get(id: String): UpstreamRow? = rows[id]
+
+    /** Takes over a registration; returns the row that it replaced when another life began. */
+    fun put(record: Upstream, now: Duration): UpstreamRow? {
+        val known = rows[record.id]
+        if (known != null && known.record.sameLife(record)) {
+            known.update(record, now)
+            return null
+        }
+        if (known != null) remove(record.id)
+        val row = UpstreamRow(record, now)
+        rows[record.id] = row
+        services.getOrPut(record.service) { ArrayList() } += row
+        return known
+    }
+
+    /** Drops the upstream registered as [id]. */
+    fun remove(id: String): UpstreamRow? {
+        val row = rows.remove(id) ?: return null
+        services[row.record.service]?.remove(row)
+        return row
+    }
+
+    /** Forgets what [entry] told of its requests. */
+    fun forget(entry: EntryId) = rows.values.forEach { it.setOther(entry, 0) }
+
+    private fun Upstream.sameLife(other: Upstream) =
+        born == other.born && address == other.address && service == other.service
+}
