--- a/cli/src/main/kotlin/io/poplarwood/cli/CommandLine.kt
+++ b/cli/src/main/kotlin/io/poplarwood/cli/CommandLine.kt
@@ -19,6 +19,7 @@
 import io.poplarwood.cli.command.ExplainCommand
 import io.poplarwood.cli.command.GatewayCommand
 import io.poplarwood.cli.command.PoplarwoodCommand
+import io.poplarwood.cli.command.SelfTestCommand
 import io.poplarwood.cli.command.StatusCommand
 import io.poplarwood.cli.command.SwitchCommand
 
@@ -50,6 +51,7 @@
         DemoCommand(wiring.entries),
         EntryCommand(wiring.runEntry),
         GatewayCommand(),
+        SelfTestCommand(),
         CheckCommand(),
         ClassesCommand().subcommands(ClassesListCommand(), ClassesSetCommand(), ClassesHistoryCommand()),
         StatusCommand(),
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestFlow.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestFlow.kt
@@ -10,6 +10,7 @@
 import io.poplarwood.gateway.peer.LoadBoard
 import io.poplarwood.gateway.store.StateBook
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -63,6 +64,7 @@
     }
 
     private suspend fun answer(request: CallerRequest, report: RequestReport): Answer {
+        if (!book.known.isCompleted) withTimeoutOrNull(STARTING) { book.known.await() }
         val state = book.state ?: return refuse(report, Outcome.NO_STATE, STARTING)
         report.stateVersion = state.version
         if (refusing) return refuse(report, Outcome.STOPPING, ELSEWHERE, close = true)
@@ -84,7 +86,7 @@
     }
 
     companion object {
-        /** An entry that starts knows the desired state within this time. */
+        /** An entry that starts knows the desired state within this time when the store answers. */
         private val STARTING = 200.milliseconds
 
         /** Another entry takes the request at once. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateBook.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateBook.kt
@@ -8,6 +8,7 @@
 import io.poplarwood.gateway.route.RouteTable
 import io.poplarwood.gateway.upstream.UpstreamRow
 import io.poplarwood.gateway.upstream.UpstreamTable
+import kotlinx.coroutines.CompletableDeferred
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -47,6 +48,9 @@
     var confirmedAt: Duration = -Duration.INFINITE
         private set
 
+    /** Completed once a desired state and the registrations are known. */
+    val known = CompletableDeferred<Unit>()
+
     /** Until when a registration that vanishes may come back: the store was away lately. */
     var lapseUntil: Duration = -Duration.INFINITE
 
@@ -67,7 +71,7 @@
             upstreamRows.keys.filter { it !in present }.forEach { vanished(it, rows.version, source) }
         }
         upstreamVersion = maxOf(upstreamVersion, rows.rows.maxOfOrNull { it.version } ?: 0)
-        changed()
+        learnt()
     }
 
     /** Notes that what is known was the newest at [at]. */
@@ -88,6 +92,11 @@
     /** All that is known, for a peer: the desired state's row and the registrations. */
     fun snapshot(): Pair<StoredRow?, List<StoredRow>> = stateRow to upstreamRows.values.toList()
 
+    private fun learnt() {
+        if (state != null && upstreamVersion > 0) known.complete(Unit)
+        changed()
+    }
+
     private fun takeState(row: StoredRow, value: ByteArray, source: String) {
         val next = codec.desiredState(value).getOrElse {
             log.log(GatewayEvent.STATE_UNREADABLE, it.detail, row.version)
@@ -99,7 +108,7 @@
         state = next
         routes = RouteTable(next.routes)
         log.log(GatewayEvent.STATE_IN_FORCE, next.version, next.routes.size, source, row.version)
-        changed()
+        learnt()
     }
 
     private fun takeUpstream(row: StoredRow, source: String) {
