--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/LoadBoard.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/LoadBoard.kt
@@ -2,10 +2,13 @@
 
 import io.poplarwood.api.id.EntryId
 import io.poplarwood.api.time.Ticker
+import io.poplarwood.gateway.decision.SlidingCount
 import io.poplarwood.gateway.upstream.UpstreamRow
 import io.poplarwood.gateway.upstream.UpstreamTable
+import kotlin.math.ceil
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
 
 /**
  * What entries tell each other of the load of upstreams: how many requests each has where, and how slow upstreams are.
@@ -20,15 +23,13 @@
     private val crash: (fingerprint: Long, upstream: String) -> Unit,
 ) {
     private val pending = LinkedHashMap<String, Int>()
-    private var servedAt = -Duration.INFINITE
-
-    /** Whether this entry served requests lately; the news of others matter only then. */
-    val active: Boolean get() = ticker.now() - servedAt < ACTIVE
+    private val requests = SlidingCount(RATE_SPAN)
 
     /** Notes that a request arrived here. */
-    fun served() {
-        servedAt = ticker.now()
-    }
+    fun served() = requests.add(ticker.now())
+
+    /** Requests that arrived here each second, at least 1 when there was any lately. */
+    fun requestsPerS(now: Duration): Int = ceil(requests.sum(now) / RATE_SPAN.toDouble(DurationUnit.SECONDS)).toInt()
 
     /** Notes that the number of own requests at [row] changed. */
     fun changed(row: UpstreamRow) {
@@ -75,7 +76,7 @@
     }
 
     private companion object {
-        val ACTIVE = 2.seconds
+        val RATE_SPAN = 4.seconds
         const val PERCENT = 100.0
     }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
@@ -15,35 +15,61 @@
      * @property peers `ip:port` for other entries
      * @property serving it takes requests
      * @property stopping it has begun a planned stop
+     * @property storeAnswers its last call to the store was answered
      * @property stateVersion store version of the desired state that it knows
-     * @property upstreamVersion store version of the registrations that it knows
+     * @property upstreamVersion store version of the newest registration that it knows
      * @property confirmedMs time since these were known to be the newest, in milliseconds
+     * @property upMs time since it started, in milliseconds
+     * @property requestsPerS requests that it took in the last seconds
      * @property load requests that it has at upstreams
      */
     @Serializable
     @SerialName("h")
     data class Hello(
-        override val from: String,
-        val zone: String,
-        val callers: String,
-        val peers: String,
-        val serving: Boolean,
-        val stopping: Boolean,
-        val stateVersion: Long,
-        val upstreamVersion: Long,
-        val confirmedMs: Long,
-        val load: List<UpstreamLoad>,
+        @SerialName("f") override val from: String,
+        @SerialName("z") val zone: String,
+        @SerialName("c") val callers: String,
+        @SerialName("p") val peers: String,
+        @SerialName("s") val serving: Boolean,
+        @SerialName("e") val stopping: Boolean,
+        @SerialName("o") val storeAnswers: Boolean,
+        @SerialName("sv") val stateVersion: Long,
+        @SerialName("uv") val upstreamVersion: Long,
+        @SerialName("cm") val confirmedMs: Long,
+        @SerialName("um") val upMs: Long,
+        @SerialName("q") val requestsPerS: Int,
+        @SerialName("l") val load: List<UpstreamLoad>,
     ) : PeerMessage
 
     /** What changed at upstreams since the last news. */
     @Serializable
     @SerialName("l")
-    data class LoadNews(override val from: String, val load: List<UpstreamLoad>) : PeerMessage
+    data class LoadNews(
+        @SerialName("f") override val from: String,
+        @SerialName("l") val load: List<UpstreamLoad>,
+    ) : PeerMessage
+
+    /**
+     * Registrations that changed in the store.
+     *
+     * @property after store version that the receiver must know for [rows] to follow without a gap
+     */
+    @Serializable
+    @SerialName("u")
+    data class UpstreamNews(
+        @SerialName("f") override val from: String,
+        @SerialName("a") val after: Long,
+        @SerialName("r") val rows: List<PeerStateRow>,
+    ) : PeerMessage
 
     /** [upstream] was lost while it ran a request with [fingerprint]. */
     @Serializable
     @SerialName("c")
-    data class CrashNews(override val from: String, val fingerprint: Long, val upstream: String) : PeerMessage
+    data class CrashNews(
+        @SerialName("f") override val from: String,
+        val fingerprint: Long,
+        val upstream: String,
+    ) : PeerMessage
 }
 
 /**
@@ -51,4 +77,8 @@
  * @property slowness percent of the usual time that work takes there now; 0 when the sender has nothing new
  */
 @Serializable
-internal data class UpstreamLoad(val upstream: String, val inFlight: Int, val slowness: Int)
+internal data class UpstreamLoad(
+    @SerialName("u") val upstream: String,
+    @SerialName("n") val inFlight: Int,
+    @SerialName("s") val slowness: Int,
+)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerSync.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerSync.kt
@@ -21,6 +21,7 @@
     private val peers: PeerTable,
     private val book: StateBook,
     private val ticker: Ticker,
+    private val zone: String,
 ) {
     private val cbor = Cbor { ignoreUnknownKeys = true }
     private var behindSince: Duration? = null
@@ -29,7 +30,12 @@
     fun answer(): InternalReply {
         val (state, upstreams) = book.snapshot()
         val whole =
-            PeerState(state?.let(PeerStateRow::of), upstreams.mapNotNull(PeerStateRow::of), book.upstreamVersion)
+            PeerState(
+                state?.let(PeerStateRow::of),
+                upstreams.map(PeerStateRow::of),
+                book.upstreamVersion,
+                book.coveredVersion,
+            )
         return InternalReply(OK, "application/cbor", cbor.encodeToByteArray(whole))
     }
 
@@ -43,7 +49,7 @@
         }
         val since = behindSince ?: now.also { behindSince = it }
         if (book.state != null && now - since < PATIENCE) return
-        val peer = ahead.maxBy { it.hello?.upstreamVersion ?: 0 }
+        val peer = ahead.firstOrNull { it.record.zone == zone } ?: ahead.first()
         val reply = caller.call(peer.record.peers, "GET", PATH, null, LIMIT)
         if (reply == null || reply.status != OK) return
         take(reply.body, peer.name)
@@ -61,8 +67,7 @@
             return
         }
         known.state?.let { book.takeState(Rows(listOf(it.toStored()), it.version), from) }
-        val rows = Rows(known.upstreams.map { it.toStored() }, known.upstreamVersion)
-        book.takeUpstreams(rows, whole = true, from)
+        book.takeAllUpstreams(Rows(known.upstreams.map { it.toStored() }, known.coveredVersion), from)
     }
 
     companion object {
@@ -71,7 +76,7 @@
         private const val OK = 200
         private val LIMIT = 500.milliseconds
 
-        /** The store's own news arrive within this time when it can be reached. */
-        private val PATIENCE = 400.milliseconds
+        /** News of one change arrive from different entries within this time. */
+        private val PATIENCE = 50.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Decisions.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Decisions.kt
@@ -28,6 +28,9 @@
     /** The queue of [service]. */
     fun queue(service: ServiceName): SlotQueue = queues.getOrPut(service) { SlotQueue(placement, upstreams) }
 
+    /** Whether a request waits for a slot. */
+    val waiting: Boolean get() = queues.values.any { it.size > 0 }
+
     /** Gives waiting requests what has become free. */
     fun pump(now: Duration) {
         for (queue in queues.values) if (queue.size > 0) queue.pump(now)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -9,6 +9,7 @@
 import io.poplarwood.gateway.decision.Placement
 import io.poplarwood.gateway.decision.RepeatBudget
 import io.poplarwood.gateway.directory.Directory
+import io.poplarwood.gateway.directory.OwnEntry
 import io.poplarwood.gateway.http.BodyMemory
 import io.poplarwood.gateway.http.CallerListener
 import io.poplarwood.gateway.http.HttpCaller
@@ -83,12 +84,18 @@
     private val peers =
         Peers(group, settings.entry, record, peerTable, upstreams, book, decisions.crashes, ticker, log, ::pump)
     private val loads = LoadBoard(upstreams, ticker, ::loadsChanged, peers::sendCrash).also { peers.loads = it }
-    private val sync = PeerSync(caller, peerTable, book, ticker)
+    private val sync = PeerSync(caller, peerTable, book, ticker, settings.zone)
     private val register = EntryRegister(store, settings.entry, record, peerTable, ticker, log)
     private val flow =
         RequestFlow(book, decisions, links, loads, ticker, metrics, RequestLog(log, metrics, ticker), log)
     private val directory =
-        Directory(settings.zone, settings.listen.callers, peerTable, settings.bounds.directoryLifetimeS.seconds)
+        Directory(
+            settings.entry,
+            settings.zone,
+            settings.listen.callers,
+            peerTable,
+            settings.bounds.directoryLifetimeS.seconds,
+        )
     private val listener = CallerListener(
         group,
         settings.listen.callers,
@@ -119,6 +126,7 @@
         keep("greetings") { greet() }
         keep("sync") { every(SYNC) { sync.tick() } }
         keep("tick") { every(TICK) { tick() } }
+        keep("waits") { pumpWhileWaiting() }
         val started = sinceStart().inWholeMilliseconds
         log.log(GatewayEvent.STARTED, settings.entry, settings.zone, settings.listen.callers, started)
     }
@@ -155,7 +163,7 @@
     }
 
     private suspend fun follow(topic: Topic) {
-        val watcher = StateWatcher(topic, store, book, ticker, random, log)
+        val watcher = StateWatcher(topic, store, book, ticker, random, log, peers)
         watcher.readWhole()
         watcher.follow()
     }
@@ -165,11 +173,13 @@
     private fun tick() {
         book.tick()
         links.closeExpired()
-        pump()
     }
 
     private fun pump() = decisions.pump(ticker.now())
 
+    /** Waits that have lasted long enough are ended in time; slots that become free are given out at once. */
+    private suspend fun pumpWhileWaiting() = every(PUMP) { if (decisions.waiting) pump() }
+
     private fun loadsChanged() {
         loop.schedule({ peers.sendLoads() }, LOAD_NEWS.inWholeMilliseconds, java.util.concurrent.TimeUnit.MILLISECONDS)
     }
@@ -192,7 +202,9 @@
 
     private fun directoryAnswer(target: String): InternalReply {
         val question = endpoints.directoryQuestion(target) ?: return InternalReply(NOT_FOUND, TEXT, ByteArray(0))
-        val entries = directory.entriesFor(question.zone, serving, ticker.now() - began)
+        val now = ticker.now()
+        val own = OwnEntry(serving, now - began, loads.requestsPerS(now))
+        val entries = directory.entriesFor(question.zone, own)
         if (entries.isEmpty()) return InternalReply(UNAVAILABLE, TEXT, ByteArray(0))
         return InternalReply(OK, "application/json", endpoints.directoryAnswer(entries, directory.lifetime))
     }
@@ -228,13 +240,13 @@
         /** Bytes of request bodies held at once, for each megabyte of the VM. */
         const val BODY_SHARE_BYTES = 160L * 1024
         val HELLO = 250.milliseconds
-        val SYNC = 200.milliseconds
+        val SYNC = 100.milliseconds
 
-        /** How often waits are looked at; slots that become free are given out at once. */
-        val TICK = 10.milliseconds
+        val TICK = 200.milliseconds
+        val PUMP = 20.milliseconds
 
         /** News of load are gathered for this long. */
-        val LOAD_NEWS = 2.milliseconds
+        val LOAD_NEWS = 3.milliseconds
         val RESTART = 200.milliseconds
         val STOP_STEP = 20.milliseconds
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateBook.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateBook.kt
@@ -44,6 +44,10 @@
     var upstreamVersion: Long = 0
         private set
 
+    /** Store version up to which every registration is known. */
+    var coveredVersion: Long = 0
+        private set
+
     /** When the registrations were known to be the newest, by this entry or by a peer that told. */
     var confirmedAt: Duration = -Duration.INFINITE
         private set
@@ -62,16 +66,29 @@
         }
     }
 
-    /** Takes in registrations that changed; with [whole], those that are missing have been removed. */
-    fun takeUpstreams(rows: Rows, whole: Boolean, source: String) {
-        if (whole && rows.version < upstreamVersion) return
+    /** Takes in all registrations that there are; those that are missing have been removed. */
+    fun takeAllUpstreams(rows: Rows, source: String) {
+        if (rows.version < coveredVersion) return
         for (row in rows.rows) takeUpstream(row, source)
-        if (whole) {
-            val present = rows.rows.mapTo(HashSet()) { it.key }
-            upstreamRows.keys.filter { it !in present }.forEach { vanished(it, rows.version, source) }
-        }
-        upstreamVersion = maxOf(upstreamVersion, rows.rows.maxOfOrNull { it.version } ?: 0)
-        learnt()
+        val present = rows.rows.mapTo(HashSet()) { it.key }
+        upstreamRows.keys.filter { it !in present }.forEach { vanished(it, rows.version, source) }
+        covered(rows)
+    }
+
+    /** Takes in registrations that changed after version [after]; false when changes before these are missing here. */
+    fun takeChangedUpstreams(rows: Rows, after: Long, source: String): Boolean {
+        if (after > coveredVersion) return false
+        for (row in rows.rows) takeUpstream(row, source)
+        covered(rows)
+        return true
+    }
+
+    private fun covered(rows: Rows) {
+        coveredVersion = maxOf(coveredVersion, rows.version)
+        val newest = rows.rows.maxOfOrNull { it.version } ?: return
+        val news = newest > upstreamVersion
+        upstreamVersion = maxOf(upstreamVersion, newest)
+        if (news) learnt()
     }
 
     /** Notes that what is known was the newest at [at]. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateWatcher.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateWatcher.kt
@@ -23,6 +23,7 @@
     private val ticker: Ticker,
     private val random: Randomness,
     private val log: EventLog,
+    private val duty: WatchDuty,
 ) {
     private var version = 0L
     private var lostAt: Duration? = null
@@ -32,10 +33,7 @@
     suspend fun readWhole() {
         while (true) {
             val rows = succeed(store.read(topic))
-            if (rows != null) {
-                take(rows, whole = true)
-                return
-            }
+            if (rows != null) return take(rows, whole = true)
             backOff()
         }
     }
@@ -43,6 +41,11 @@
     /** Follows changes; does not return. */
     suspend fun follow() {
         while (true) {
+            if (!duty.watches()) {
+                delay(DUTY_CHECK)
+                continue
+            }
+            version = maxOf(version, duty.known(topic))
             val result = store.changes(topic, version, WAIT)
             if (result.getError() == StoreError.HistoryGone) {
                 readWhole()
@@ -62,18 +65,21 @@
         when (topic) {
             Topic.DESIRED_STATE -> book.takeState(rows, "store")
             Topic.UPSTREAMS -> {
-                book.takeUpstreams(rows, whole, "store")
+                if (whole) book.takeAllUpstreams(rows, "store") else book.takeChangedUpstreams(rows, version, "store")
                 book.confirm(ticker.now())
             }
             Topic.ENTRIES -> Unit
         }
+        val before = version
         version = maxOf(version, rows.version)
+        if (!whole && rows.rows.isNotEmpty()) duty.changed(topic, rows, before)
     }
 
     private fun <T> succeed(result: Result<T, StoreError>): T? {
         val value = result.getOrElse { error ->
             if (lostAt == null) {
                 lostAt = ticker.now()
+                duty.storeAnswers = false
                 log.log(GatewayEvent.STORE_LOST, topic, error, version)
             }
             return null
@@ -84,6 +90,7 @@
             book.lapseUntil = ticker.now() + AFTER_OUTAGE
         }
         lostAt = null
+        duty.storeAnswers = true
         pause = FIRST_PAUSE
         return value
     }
@@ -95,7 +102,8 @@
 
     private companion object {
         /** Time that a call waits for a change. A connection that went silent is found when it is over. */
-        val WAIT = 2.seconds
+        val WAIT = 1_200.milliseconds
+        val DUTY_CHECK = 50.milliseconds
 
         /** Changes come in groups; those that follow shortly are fetched by one call. */
         val GATHER = 150.milliseconds
