Let on-time requests go first and hold upstreams below their knee

With three slots an upstream that is nearly full works 1.7 times as slowly, so the third request at once lowers what it finishes.

Change: requests that can still meet their aim go first, late ones take what is left, newest first; the slow-down of crowded upstreams is learnt and their concurrency capped at what finishes most; a request at an upstream that has just told of slowness is repeated early; bodies count for the choice of zone. What attempts teach moved to a class of its own.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/Placement.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/Placement.kt
@@ -17,13 +17,23 @@
  * @param zone the entry's own; upstreams elsewhere cost a round trip between zones and its bytes
  */
 internal class Placement(private val zone: Zone, private val random: Randomness) {
-    /** The upstream of [rows] with a free slot that should answer first; null when none has one. */
-    fun free(rows: List<UpstreamRow>, work: Duration, exclude: Set<String>, now: Duration): UpstreamRow? =
-        pick(rows, work, now) { it.id !in exclude && usable(it, now) && it.freeSlots > 0 }
+    /** What is known of upstreams that hold several requests. */
+    val crowding = Crowding()
 
-    /** The upstream of [rows] that should answer first although its slots are taken; null when none is usable. */
-    fun queued(rows: List<UpstreamRow>, work: Duration, exclude: Set<String>, now: Duration): UpstreamRow? =
-        pick(rows, work, now) { it.id !in exclude && usable(it, now) && it.inFlight < it.record.slots * QUEUE_FACTOR }
+    /**
+     * The upstream of [rows] with room that should answer first; null when none has any. Room is what it finishes most
+     * with, which may be less than its slots.
+     */
+    fun free(rows: List<UpstreamRow>, job: Job, exclude: Set<String>, now: Duration): UpstreamRow? =
+        pick(rows, job, now) { it.id !in exclude && hasRoom(it) && usable(it, now) }
+
+    /** Whether [row] can run one more request at once without finishing less. */
+    fun hasRoom(row: UpstreamRow): Boolean =
+        row.inFlight < crowding.best(row.record.service, row.record.slots)
+
+    /** Requests that the usable ones of [rows] run at once when they finish most. */
+    fun capacity(rows: List<UpstreamRow>, now: Duration): Int =
+        rows.sumOf { if (usable(it, now)) crowding.best(it.record.service, it.record.slots) else 0 }
 
     /** Whether [row] may get work now. */
     fun usable(row: UpstreamRow, now: Duration): Boolean {
@@ -32,17 +42,19 @@
         return now >= row.restUntil && row.ownInFlight == 0
     }
 
-    /** Time to an answer to a request that takes [work] at an idle upstream of usual speed. */
-    fun expected(row: UpstreamRow, work: Duration, now: Duration): Duration {
+    /** Time to an answer of [row] to [job]. */
+    fun expected(row: UpstreamRow, job: Job, now: Duration): Duration {
         val slots = max(row.record.slots, 1)
         val ahead = max(row.inFlight + 1 - slots, 0).toDouble() / slots
         var factor = slowness(row, now) * (1 + ahead)
-        if (row.inFlight + 1 > slots * KNEE) factor *= KNEE_FACTOR
+        factor *= crowding.factor(row.record.service, row.inFlight + 1, slots)
         if (now < row.warmUntil) factor *= COLD_FACTOR
         factor *= 1 + row.badShare * BAD_WEIGHT
-        return work * factor + if (row.record.zone == zone) Duration.ZERO else CROSS_ZONE
+        return job.work * factor + if (row.record.zone == zone) Duration.ZERO else farCost(job)
     }
 
+    private fun farCost(job: Job) = CROSS_ZONE + CROSS_ZONE_100_KB * (job.bytes / HUNDRED_KB)
+
     /** How much slower than usual [row] is expected to be now. */
     fun slowness(row: UpstreamRow, now: Duration): Double {
         val age = now - row.slownessAt
@@ -53,7 +65,7 @@
 
     private inline fun pick(
         rows: List<UpstreamRow>,
-        work: Duration,
+        job: Job,
         now: Duration,
         allowed: (UpstreamRow) -> Boolean,
     ): UpstreamRow? {
@@ -62,7 +74,7 @@
         val times = ArrayList<Duration>(rows.size)
         for (row in rows) {
             if (!allowed(row)) continue
-            val time = expected(row, work, now)
+            val time = expected(row, job, now)
             candidates += row
             times += time
             if (time < least) least = time
@@ -86,9 +98,6 @@
         /** Span over which a figure of slowness loses its worth. */
         val SLOWNESS_LIFE = 350.milliseconds
 
-        /** Use of slots above which upstreams slow down. */
-        const val KNEE = 0.8
-        const val KNEE_FACTOR = 1.4
         const val COLD_FACTOR = 2.0
 
         /** An attempt that fails costs about as much as several that do not. */
@@ -97,11 +106,10 @@
         /** Times within this ratio of the best count as equal. */
         const val SIMILAR = 1.15
 
-        /** Requests, in multiples of its slots, beyond which an upstream would most likely shed one more. */
-        const val QUEUE_FACTOR = 2
-
-        /** What a hop between zones costs: its round trip and the price of its bytes. */
+        /** What a hop between zones costs: its round trip, and the price of its bytes as time. */
         val CROSS_ZONE = 5.milliseconds
+        val CROSS_ZONE_100_KB = 60.milliseconds
+        const val HUNDRED_KB = 100_000.0
 
         /** After a rest an upstream gets one request at a time for this long. */
         val TRIAL_SPAN = 1_000.milliseconds
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/SlotQueue.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/SlotQueue.kt
@@ -7,10 +7,11 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Requests of one service that wait for a slot, most urgent first.
+ * Requests of one service that wait for a slot.
  *
- * Answers floods beyond what the service can carry: a request waits here only while it can still meet its aim, then it
- * takes a place in the queue of the least loaded upstream, and when every such queue is full it is refused at once.
+ * Answers floods beyond what the service can carry. Requests that can still meet their aim go first, by rank and then
+ * by aim; one that cannot any more takes only a slot that they leave, the newest first, so that a flood makes some
+ * requests late rather than all. A request that would not be served in time even so is refused on arrival.
  */
 internal class SlotQueue(private val placement: Placement, private val upstreams: UpstreamTable) {
     private val waiting = ArrayList<SlotRequest>()
@@ -20,55 +21,72 @@
     /** Decides about [request] now, or keeps it until [pump] can. */
     fun offer(request: SlotRequest, now: Duration) {
         val rows = upstreams.of(request.service)
-        if (rows.none { it.id !in request.exclude && placement.usable(it, now) }) {
-            request.decided(SlotDecision.NoUpstream)
-            return
+        when {
+            rows.none { it.id !in request.exclude && placement.usable(it, now) } ->
+                request.decided(SlotDecision.NoUpstream)
+            waiting.isEmpty() && settle(request, rows, now) -> Unit
+            now + queueTime(request, rows, now) + request.job.work > request.deadline ->
+                request.decided(SlotDecision.Full(drainTime(request, rows)))
+            else -> {
+                waiting += request
+                if (waiting.size > 1) pump(now)
+            }
         }
-        val ahead = waiting.any { it.priority <= request.priority }
-        val row = if (ahead) null else placement.free(rows, request.work, request.exclude, now)
-        if (row != null) return grant(request, row)
-        val behind = waiting.indexOfFirst { it.priority > request.priority }
-        waiting.add(if (behind < 0) waiting.size else behind, request)
-        if (now >= request.offerAt) pump(now)
     }
 
     /** Gives out what has become free and ends waits that lasted long enough. */
     fun pump(now: Duration) {
-        var index = 0
-        while (index < waiting.size) {
-            val request = waiting[index]
-            if (request.cancelled || settle(request, now)) waiting.remove(request) else index++
-        }
+        waiting.removeIf { it.cancelled }
+        if (waiting.isEmpty()) return
+        val rows = upstreams.of(waiting.first().service)
+        waiting.sortWith(
+            compareBy<SlotRequest> {
+                !it.canMeetAim(now)
+            }.thenBy { it.priority }.thenBy { orderOf(it, now) },
+        )
+        waiting.removeIf { settle(it, rows, now) }
     }
 
-    private fun settle(request: SlotRequest, now: Duration): Boolean {
-        val rows = upstreams.of(request.service)
-        val free = placement.free(rows, request.work, request.exclude, now)
-        if (free != null) {
-            grant(request, free)
+    /** On-time requests by their aim; late ones the newest first, since the oldest are nearest to their deadline. */
+    private fun orderOf(request: SlotRequest, now: Duration): Duration =
+        if (request.canMeetAim(now)) request.aim else -request.arrived
+
+    /** Decides about [request] if that can be done now. */
+    private fun settle(request: SlotRequest, rows: List<UpstreamRow>, now: Duration): Boolean {
+        val free = placement.free(rows, request.job, request.exclude, now)
+        if (free != null && suits(request, free, now)) {
+            free.ownInFlight++
+            request.decided(SlotDecision.Granted(free))
             return true
         }
-        if (now < request.offerAt) return false
-        val queued = placement.queued(rows, request.work, request.exclude, now)
-        val inTime = queued?.let { now + placement.expected(it, request.work, now) <= request.deadline } ?: false
-        if (queued != null && inTime) grant(request, queued) else request.decided(SlotDecision.Full(drainTime(request)))
+        if (!request.isSpent(now)) return false
+        request.decided(SlotDecision.Full(drainTime(request, rows)))
         return true
     }
 
-    private fun grant(request: SlotRequest, row: UpstreamRow) {
-        row.ownInFlight++
-        request.decided(SlotDecision.Granted(row))
+    /** A request that can still meet its aim elsewhere does not take an upstream that would miss it. */
+    private fun suits(request: SlotRequest, row: UpstreamRow, now: Duration): Boolean {
+        val answered = now + placement.expected(row, request.job, now)
+        return answered <= request.aim || (!request.canMeetAim(now) && answered <= request.deadline) ||
+            now > request.arrived + (request.aim - request.arrived) * HOPE_SHARE
     }
 
-    /** Time until what is in flight now has left as many slots free as there are requests waiting. */
-    private fun drainTime(request: SlotRequest): Duration {
-        val rows = upstreams.of(request.service)
+    /** Time until the requests that go before [request] have got their slots. */
+    private fun queueTime(request: SlotRequest, rows: List<UpstreamRow>, now: Duration): Duration {
+        val ahead = waiting.count { it.priority <= request.priority && it.canMeetAim(now) }
+        return request.job.work * (ahead.toDouble() / placement.capacity(rows, now).coerceAtLeast(1))
+    }
+
+    /** Time until what is in flight and waits now has left. */
+    private fun drainTime(request: SlotRequest, rows: List<UpstreamRow>): Duration {
         val slots = rows.sumOf { it.record.slots }.coerceAtLeast(1)
         val load = rows.sumOf { it.inFlight } + waiting.size
-        return (request.work * (load.toDouble() / slots)).coerceIn(SHORTEST, LONGEST)
+        return (request.job.work * (load.toDouble() / slots)).coerceIn(SHORTEST, LONGEST)
     }
 
     private companion object {
+        /** Share of the time to its aim for which a request holds out for an upstream that would meet it. */
+        const val HOPE_SHARE = 0.4
         val SHORTEST = 20.milliseconds
         val LONGEST = 2.seconds
     }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Attempt.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Attempt.kt
@@ -13,6 +13,9 @@
     var result: AttemptResult? = null
     var endedAt: Duration? = null
 
+    /** Requests that the upstream held when this one was sent, with this one. */
+    val heldAtStart: Int = row.inFlight
+
     /** The attempt as one word of a log line. */
     fun describe(): String {
         val took = endedAt?.let { "+${(it - sentAt).inWholeMilliseconds}ms" } ?: ""
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -86,8 +86,9 @@
     private val loads = LoadBoard(upstreams, ticker, ::loadsChanged, peers::sendCrash).also { peers.loads = it }
     private val sync = PeerSync(caller, peerTable, book, ticker, settings.zone)
     private val register = EntryRegister(store, settings.entry, record, peerTable, ticker, log)
-    private val flow =
-        RequestFlow(book, decisions, links, loads, ticker, metrics, RequestLog(log, metrics, ticker), log)
+    private val lessons = Lessons(decisions, loads, log)
+    private val requestLog = RequestLog(log, metrics, ticker)
+    private val flow = RequestFlow(book, decisions, links, loads, ticker, metrics, lessons, requestLog, log)
     private val directory =
         Directory(
             settings.entry,
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestFlow.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestFlow.kt
@@ -22,6 +22,7 @@
     val loads: LoadBoard,
     val ticker: Ticker,
     val metrics: GatewayMetrics,
+    val lessons: Lessons,
     private val requestLog: RequestLog,
     private val log: EventLog,
 ) {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
@@ -1,13 +1,13 @@
 package io.poplarwood.gateway.runtime
 
 import io.poplarwood.api.id.ServiceName
+import io.poplarwood.gateway.decision.Job
 import io.poplarwood.gateway.decision.SlotDecision
 import io.poplarwood.gateway.decision.SlotRequest
 import io.poplarwood.gateway.http.Answer
 import io.poplarwood.gateway.http.AttemptResult
 import io.poplarwood.gateway.http.CallerRequest
 import io.poplarwood.gateway.http.HopHeaders
-import io.poplarwood.gateway.http.LossCause
 import io.poplarwood.gateway.http.NotExecutedCause
 import io.poplarwood.gateway.http.Outbound
 import io.poplarwood.gateway.metrics.RepeatReason
@@ -40,7 +40,8 @@
     private val ticker = flow.ticker
     private val decisions = flow.decisions
     private val deadline = request.arrived + minOf(request.patience ?: route.timeout, route.timeout)
-    private val aim = request.arrived + route.target
+    private val aim = request.arrived + route.target * AIM_SHARE
+    private val job: Job get() = Job(decisions.work.usual(route), request.body.size)
     private val tried = HashSet<String>()
     private val running = ArrayList<Attempt>(2)
     private val finished = ArrayDeque<Attempt>()
@@ -138,7 +139,7 @@
     private fun secondAttemptAt(now: Duration): Duration {
         val first = running.singleOrNull() ?: return Duration.INFINITE
         if (!route.kind.repeatable || !mayAttempt()) return Duration.INFINITE
-        return maxOf(first.sentAt + decisions.work.long(route), now + CHECK_SECOND)
+        return maxOf(first.sentAt + decisions.second.firstLook(job), now + CHECK_SECOND)
     }
 
     /** Sends an idempotent request to a second upstream when its first one is slow or silent. */
@@ -146,12 +147,13 @@
         val first = running.singleOrNull() ?: return
         if (!route.kind.repeatable || !mayAttempt()) return
         val now = ticker.now()
-        val usual = decisions.work.usual(route)
-        val rows = decisions.upstreams.of(service)
-        val row = decisions.placement.free(rows, usual, tried, now) ?: return
+        val row = decisions.placement.free(decisions.upstreams.of(service), job, tried, now) ?: return
         val long = decisions.work.long(route)
-        if (!decisions.second.worthwhile(first.row, now - first.sentAt, usual, long, aim - now, row, now)) return
-        if (!decisions.budget.take(service, now)) return
+        val waited = now - first.sentAt
+        val worthwhile = decisions.second.worthwhile(first.row, waited, job, long, aim - now, row, now) &&
+            decisions.budget.used(service, now) <= SECOND_BUDGET &&
+            decisions.budget.take(service, now)
+        if (!worthwhile) return
         flow.metrics.repeated(RepeatReason.SLOW)
         row.ownInFlight++
         start(row)
@@ -159,7 +161,7 @@
 
     private suspend fun place(): SlotDecision = suspendCancellableCoroutine { continuation ->
         val slot =
-            SlotRequest(service, route.priority, request.arrived, decisions.work.usual(route), aim, deadline, tried) {
+            SlotRequest(service, route.priority, request.arrived, job, aim, deadline, tried) {
                 continuation.resume(it) { _, value, _ -> if (value is SlotDecision.Granted) release(value.row) }
             }
         continuation.invokeOnCancellation { slot.cancelled = true }
@@ -184,7 +186,7 @@
                 release(row)
             }
             attempt.endedAt = ticker.now()
-            learn(attempt)
+            flow.lessons.learn(attempt, route, request.fingerprint)
             finished.addLast(attempt)
             signal.trySend(Unit)
         }
@@ -196,44 +198,6 @@
         decisions.queue(service).pump(ticker.now())
     }
 
-    /** Takes over what the end of [attempt] shows of its upstream. */
-    private fun learn(attempt: Attempt) {
-        val row = attempt.row
-        val now = checkNotNull(attempt.endedAt)
-        when (val result = attempt.result) {
-            is AttemptResult.Answered -> {
-                result.load?.slowness?.let { flow.loads.slowness(row, it, now) }
-                decisions.crashes.answered(request.fingerprint)
-                if (result.status < FIRST_SERVER_ERROR) {
-                    decisions.suspicion.answered(row, now)
-                    decisions.work.note(route, now - attempt.sentAt, result.load?.slowness ?: 1.0)
-                } else {
-                    decisions.suspicion.failed(row)
-                }
-            }
-            is AttemptResult.NotExecuted -> {
-                result.load?.slowness?.let { flow.loads.slowness(row, it, now) }
-                if (result.cause ==
-                    NotExecutedCause.OTHER_UPSTREAM
-                ) {
-                    row.goneAt = now
-                } else {
-                    decisions.suspicion.shed(row, now)
-                }
-            }
-            is AttemptResult.Lost -> {
-                decisions.suspicion.lost(row, now)
-                if (result.cause == LossCause.CONNECTION_LOST) crashed(row, now)
-            }
-            AttemptResult.NotSent -> decisions.suspicion.lost(row, now)
-            null -> Unit
-        }
-    }
-
-    private fun crashed(row: UpstreamRow, now: Duration) {
-        if (decisions.crashes.lost(request.fingerprint, row.id, now)) flow.loads.crashed(request.fingerprint, row.id)
-    }
-
     private fun timedOut(): RequestEnd {
         for (attempt in running) {
             if (ticker.now() - attempt.sentAt > SILENT) decisions.suspicion.lost(attempt.row, ticker.now())
@@ -270,8 +234,14 @@
         const val MAX_UNSENT = 3
 
         /** A kept connection that was idle for longer may have been forgotten on the path. */
-        val MAX_IDLE = 6.seconds
-        val MAX_IDLE_ONCE = 2.seconds
+        val MAX_IDLE = 9.seconds
+        val MAX_IDLE_ONCE = 4.seconds
+
+        /** Share of a route's target that is left to the entry; the rest is the way from and to the caller. */
+        const val AIM_SHARE = 0.9
+
+        /** Share of the budget that slowness may use; the rest is for requests that were shed or lost. */
+        const val SECOND_BUDGET = 0.7
         val CHECK_SECOND = 10.milliseconds
 
         /** An upstream that was given less time than this and did not answer is not blamed. */
