--- a/cli/src/main/kotlin/io/poplarwood/cli/command/UntilTerminated.kt
+++ b/cli/src/main/kotlin/io/poplarwood/cli/command/UntilTerminated.kt
@@ -1,33 +1,19 @@
 package io.poplarwood.cli.command
 
-import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.CompletableDeferred
-import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import sun.misc.Signal
 
-/** Turns SIGTERM and SIGINT into a cancellation and keeps the JVM until the work has ended. */
+/**
+ * Turns SIGTERM and SIGINT into a cancellation and returns when the work has ended. The signals are handled here rather
+ * than by a shutdown hook, since the JVM would then end with a status that says that a signal ended it.
+ */
 internal object UntilTerminated {
-    fun run(work: suspend () -> Unit) {
-        val ended = CompletableDeferred<Unit>()
-        try {
-            runBlocking {
-                val job = launch { work() }
-                // The JVM ends when its shutdown hooks do, so the hook waits for the graceful stop.
-                val hook = Thread {
-                    runBlocking {
-                        job.cancelAndJoin()
-                        ended.await()
-                    }
-                }
-                Runtime.getRuntime().addShutdownHook(hook)
-                job.join()
-                runCatching { Runtime.getRuntime().removeShutdownHook(hook) }
-            }
-        } catch (_: CancellationException) {
-            // The graceful stop.
-        } finally {
-            ended.complete(Unit)
-        }
+    private val signals = listOf("TERM", "INT")
+
+    fun run(work: suspend () -> Unit) = runBlocking {
+        val job = launch { work() }
+        for (name in signals) Signal.handle(Signal(name)) { job.cancel() }
+        job.join()
     }
 }
--- /dev/null
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/settings/GatewaySettingsReaderSpec.kt
@@ -0,0 +1,70 @@
+package io.poplarwood.gateway.settings
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import org.junit.jupiter.api.io.TempDir
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.io.path.writeBytes
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+
+class GatewaySettingsReaderSpec {
+    @TempDir
+    private lateinit var directory: Path
+
+    /** The settings that the platform fills in, with [values] for its placeholders. */
+    private fun filled(vararg values: Pair<String, String>): String {
+        val known = values.toMap()
+        return Regex(
+            """\{\{([a-z0-9._-]+)}}""",
+        ).replace(Files.readString(Path.of("../deploy/settings.jsonc"))) { match ->
+            val name = match.groupValues[1]
+            known[name] ?: when {
+                name == "ip" -> "10.1.0.35"
+                name.startsWith("listen.") || name == "platform.address" -> "10.1.0.35:8144"
+                name == "zone" || name == "node-name" -> "edge-1"
+                else -> "2"
+            }
+        }
+    }
+
+    /** Guards against a template that the program cannot read. */
+    @Test
+    fun `the template is read when it is filled in`() {
+        val settings = assertNotNull(GatewaySettingsReader.parse(filled()).get())
+        assertEquals("10.1.0.35:2", settings.listen.peers)
+        assertEquals(2.0, settings.bounds.repeatRatio)
+    }
+
+    /** Guards against a fault that is found only when it matters. */
+    @Test
+    fun `each fault is told with its path, what was found and what is allowed`() {
+        val faults = GatewaySettingsReader.parse(
+            filled("listen.front" to "nowhere", "bounds.grace-s" to "0"),
+        ).getError()
+        assertEquals(2, faults?.size)
+        assertTrue("listen.callers is \"nowhere\", expected ip:port" in assertNotNull(faults))
+    }
+
+    /** Guards against a stack trace for an operator who names the wrong file. */
+    @Test
+    fun `a file that holds no settings gives one line`() {
+        val contents = listOf(
+            ByteArray(0),
+            byteArrayOf(-1, 0, -2, 7),
+            filled().take(200).encodeToByteArray(),
+            "{\"a\":".repeat(20_000).encodeToByteArray(),
+            "[".repeat(20_000).encodeToByteArray(),
+        )
+        for (content in contents) {
+            val file = directory.resolve("settings").also { it.writeBytes(content) }
+            val faults = assertNotNull(GatewaySettingsReader.read(file).getError())
+            assertEquals(1, faults.size, "$faults")
+            assertTrue('\n' !in faults.single())
+        }
+        assertEquals(1, GatewaySettingsReader.read(directory).getError()?.size)
+    }
+}
