Repeat an unusually long idempotent request while that can still meet its aim

A second attempt was started after a time that few requests exceed, when it could no longer meet the aim.

Change: at the last moment at which a second attempt can meet the aim, a run of more than 1.4 times the usual is repeated. Besides: the concurrency learnt for an upstream stays at half its slots or more; a planned stop gives requests that are still in flight their final answer rather than a closed connection; a connection that opens after its request was given up is closed.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/Crowding.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/Crowding.kt
@@ -21,7 +21,7 @@
     fun factor(service: ServiceName, held: Int, slots: Int): Double =
         levels(service, slots).factor(held.coerceIn(1, slots.coerceAtLeast(1)))
 
-    /** Requests at once with which an upstream of [slots] finishes most. */
+    /** Requests at once with which an upstream of [slots] finishes most; half its slots at least. */
     fun best(service: ServiceName, slots: Int): Int = levels(service, slots).best
 
     private fun levels(service: ServiceName, slots: Int): Levels {
@@ -37,7 +37,7 @@
 
         fun note(held: Int, ratio: Double) {
             ratios[held] += (ratio.coerceAtMost(MOST) - ratios[held]) * LEARNING
-            best = (1..slots).maxBy { it / factor(it) }
+            best = ((slots + 1) / 2..slots).maxBy { it / factor(it) }
         }
 
         /** More requests at once never make work quicker; a level that seems to was seen too seldom. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/SecondAttempt.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/SecondAttempt.kt
@@ -7,13 +7,13 @@
 /**
  * Whether an idempotent request that is still unanswered goes to a second upstream.
  *
- * Answers upstreams that turned slow or silent after they took a request. A second attempt pays only where it should
- * be answered well before the first and in time for the aim.
+ * Answers upstreams that turned slow or silent after they took a request. Three cases pay: the upstream has just told
+ * that it is slow; the request has taken unusually long and a second attempt would soon be too late for the aim; or it
+ * has taken so long that its answer is most likely lost.
  */
 internal class SecondAttempt(private val placement: Placement) {
     /**
-     * @param first where the request is
-     * @param waited time since it was sent there
+     * @param first where the request is, since [waited] ago
      * @param job the request, [long] a time that few of its route exceed
      * @param left time until its aim
      * @param second where it would go
@@ -28,16 +28,22 @@
         now: Duration,
     ): Boolean {
         val there = placement.expected(second, job, now)
-        val knownSlow = now - first.slownessAt < FRESH && first.slowness >= SLOW
-        if (waited < long && !(knownSlow && waited > job.work * EARLY)) return false
-        val slow = placement.slowness(first, now)
-        val here = (job.work * slow - waited).coerceAtLeast(job.work * (slow - 1) * REMAINING)
-        return there < left && there < here || waited > long * 2
+        if (toldSlow(first, waited, job, now)) return there < left && there < remaining(first, waited, job, now)
+        val lastChance = there < left && left - there <= LAST_CHANCE && waited >= job.work * UNUSUAL
+        return lastChance || waited > long * LOST
     }
 
     /** Time after which the first look at a request of [job] is worthwhile. */
     fun firstLook(job: Job): Duration = job.work * EARLY
 
+    private fun toldSlow(first: UpstreamRow, waited: Duration, job: Job, now: Duration) =
+        now - first.slownessAt < FRESH && first.slowness >= SLOW && waited > job.work * EARLY
+
+    private fun remaining(first: UpstreamRow, waited: Duration, job: Job, now: Duration): Duration {
+        val slow = placement.slowness(first, now)
+        return (job.work * slow - waited).coerceAtLeast(job.work * (slow - 1) * REMAINING)
+    }
+
     private companion object {
         /** Share of a slow run that is still to come when it has outlasted a usual one. */
         const val REMAINING = 0.5
@@ -48,5 +54,14 @@
 
         /** Share of the usual time after which a run at an upstream that has just told of its slowness is given up. */
         const val EARLY = 0.5
+
+        /** A run that lasts this many times the usual is more likely at a slow upstream than long in itself. */
+        const val UNUSUAL = 1.4
+
+        /** Margin before a second attempt would miss the aim. */
+        val LAST_CHANCE = 25.milliseconds
+
+        /** Multiple of a long run after which the answer counts as lost. */
+        const val LOST = 2
     }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/SlotQueue.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/SlotQueue.kt
@@ -47,6 +47,13 @@
         waiting.removeIf { settle(it, rows, now) }
     }
 
+    /** Refuses all that wait; the entry is about to end. */
+    fun refuseAll() {
+        val all = waiting.toList()
+        waiting.clear()
+        all.filter { !it.cancelled }.forEach { it.decided(SlotDecision.Full(SHORTEST)) }
+    }
+
     /** On-time requests by their aim; late ones the newest first, since the oldest are nearest to their deadline. */
     private fun orderOf(request: SlotRequest, now: Duration): Duration =
         if (request.canMeetAim(now)) request.aim else -request.arrived
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamLinks.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamLinks.kt
@@ -89,7 +89,7 @@
                 if (!continuation.isActive) return@addListener
                 val connected = link?.takeIf { done.isSuccess }
                 if (connected != null) open.getOrPut(address) { HashSet() } += connected
-                continuation.resume(connected)
+                continuation.resume(connected) { _, unused, _ -> unused?.abandon() }
             }
         }
     }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Decisions.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Decisions.kt
@@ -43,6 +43,9 @@
     /** Whether a request waits for a slot. */
     val waiting: Boolean get() = queues.values.any { it.size > 0 }
 
+    /** Refuses all requests that wait. */
+    fun refuseWaiting() = queues.values.forEach { it.refuseAll() }
+
     /** Gives waiting requests what has become free. */
     fun pump(now: Duration) {
         for (queue in queues.values) if (queue.size > 0) queue.pump(now)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -156,6 +156,8 @@
             delay(STOP_STEP)
             listener.closeQuiet()
         }
+        flow.endAll()
+        delay(STOP_STEP * 2)
         log.log(GatewayEvent.STOPPED, flow.inFlight, (ticker.now() - from).inWholeMilliseconds)
     }
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestFlow.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestFlow.kt
@@ -36,6 +36,13 @@
     /** Called after the first answer of an upstream. */
     var onFirstAnswer: () -> Unit = {}
     private var answeredOnce = false
+    private val runs = LinkedHashSet<RequestRun>()
+
+    /** Gives every request in flight its final answer, since the process is about to end. */
+    fun endAll() {
+        decisions.refuseWaiting()
+        runs.toList().forEach { it.end() }
+    }
 
     /** Answers [request]. */
     suspend fun serve(request: CallerRequest): Answer {
@@ -76,9 +83,15 @@
         val now = ticker.now()
         decisions.budget.request(service, now)
         if (decisions.crashes.refuses(request.fingerprint, now)) return refuse(report, Outcome.CRASHES, CRASH_PAUSE)
-        val end = RequestRun(this, request, route, service, report).run()
-        report.outcome = end.outcome
-        return end.answer
+        val run = RequestRun(this, request, route, service, report)
+        runs += run
+        try {
+            val end = run.run()
+            report.outcome = end.outcome
+            return end.answer
+        } finally {
+            runs -= run
+        }
     }
 
     private fun refuse(report: RequestReport, outcome: Outcome, retryAfter: Duration?, close: Boolean = false): Answer {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
@@ -49,8 +49,15 @@
     private var sent = 0
     private var unsent = 0
     private var mayHaveRun = false
+    private var ending = false
     private var failure: AttemptResult.Answered? = null
 
+    /** Ends the request now with what is known of it. */
+    fun end() {
+        ending = true
+        signal.trySend(Unit)
+    }
+
     /** Runs the request to its end. */
     suspend fun run(): RequestEnd = coroutineScope {
         try {
@@ -83,7 +90,7 @@
                 continue
             }
             val now = ticker.now()
-            if (now >= deadline) return timedOut()
+            if (now >= deadline || ending) return timedOut()
             val wake = minOf(deadline, secondAttemptAt(now))
             withTimeoutOrNull(wake - now) { signal.receive() }
             if (finished.isEmpty()) considerSecond()
