--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
@@ -15,9 +15,10 @@
      * @property peers `ip:port` for other entries
      * @property serving it takes requests
      * @property stopping it has begun a planned stop
-     * @property storeAnswers its last call to the store was answered
+     * @property storeAnswers its last calls to the store were answered
      * @property stateVersion store version of the desired state that it knows
      * @property upstreamVersion store version of the newest registration that it knows
+     * @property coveredVersion store version up to which it knows every registration
      * @property confirmedMs time since these were known to be the newest, in milliseconds
      * @property upMs time since it started, in milliseconds
      * @property requestsPerS requests that it took in the last seconds
@@ -35,6 +36,7 @@
         @SerialName("o") val storeAnswers: Boolean,
         @SerialName("sv") val stateVersion: Long,
         @SerialName("uv") val upstreamVersion: Long,
+        @SerialName("cv") val coveredVersion: Long,
         @SerialName("cm") val confirmedMs: Long,
         @SerialName("um") val upMs: Long,
         @SerialName("q") val requestsPerS: Int,
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerSocket.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerSocket.kt
@@ -40,7 +40,7 @@
     }
 
     /** Sends [message] to each of [peers], given as `ip:port`. */
-    fun send(message: PeerMessage, peers: Iterable<String>) {
+    fun send(message: PeerMessage, peers: List<String>) {
         val socket = channel ?: return
         val bytes = cbor.encodeToByteArray<PeerMessage>(message)
         for (peer in peers) {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerSync.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerSync.kt
@@ -1,8 +1,6 @@
 package io.poplarwood.gateway.peer
 
 import io.poplarwood.api.time.Ticker
-import io.poplarwood.gateway.http.HttpCaller
-import io.poplarwood.gateway.http.InternalReply
 import io.poplarwood.gateway.store.Rows
 import io.poplarwood.gateway.store.StateBook
 import kotlinx.serialization.SerializationException
@@ -15,9 +13,11 @@
 /**
  * Gets from peers what they know and this entry does not: it may be cut off from the store, or start while the store is
  * away.
+ *
+ * @param ask fetches what a peer knows, as its [answer] gives it; null when it does not answer
  */
 internal class PeerSync(
-    private val caller: HttpCaller,
+    private val ask: suspend (peer: String) -> ByteArray?,
     private val peers: PeerTable,
     private val book: StateBook,
     private val ticker: Ticker,
@@ -27,7 +27,7 @@
     private var behindSince: Duration? = null
 
     /** What this entry tells a peer that asks. */
-    fun answer(): InternalReply {
+    fun answer(): ByteArray {
         val (state, upstreams) = book.snapshot()
         val whole =
             PeerState(
@@ -36,7 +36,7 @@
                 book.upstreamVersion,
                 book.coveredVersion,
             )
-        return InternalReply(OK, "application/cbor", cbor.encodeToByteArray(whole))
+        return cbor.encodeToByteArray(whole)
     }
 
     /** Asks a peer that knows more, once it has known more for a while. */
@@ -50,9 +50,7 @@
         val since = behindSince ?: now.also { behindSince = it }
         if (book.state != null && now - since < PATIENCE) return
         val peer = ahead.firstOrNull { it.record.zone == zone } ?: ahead.first()
-        val reply = caller.call(peer.record.peers, "GET", PATH, null, LIMIT)
-        if (reply == null || reply.status != OK) return
-        take(reply.body, peer.name)
+        ask(peer.record.peers)?.let { take(it, peer.name) }
     }
 
     private fun knowsMore(peer: PeerRow): Boolean {
@@ -67,16 +65,12 @@
             return
         }
         known.state?.let { book.takeState(Rows(listOf(it.toStored()), it.version), from) }
-        book.takeAllUpstreams(Rows(known.upstreams.map { it.toStored() }, known.coveredVersion), from)
+        val rows = Rows(known.upstreams.map { it.toStored() }, known.coveredVersion)
+        book.takeAllUpstreams(rows, from, known.upstreamVersion)
     }
 
-    companion object {
-        /** Path of the peers' listener that answers with [PeerState]. */
-        const val PATH: String = "/state"
-        private const val OK = 200
-        private val LIMIT = 500.milliseconds
-
+    private companion object {
         /** News of one change arrive from different entries within this time. */
-        private val PATIENCE = 50.milliseconds
+        val PATIENCE = 50.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/Peers.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/Peers.kt
@@ -1,6 +1,5 @@
 package io.poplarwood.gateway.peer
 
-import io.netty.channel.EventLoopGroup
 import io.poplarwood.api.id.EntryId
 import io.poplarwood.api.time.Ticker
 import io.poplarwood.gateway.decision.CrashSuspects
@@ -11,11 +10,16 @@
 import io.poplarwood.gateway.store.Topic
 import io.poplarwood.gateway.store.WatchDuty
 import io.poplarwood.gateway.upstream.UpstreamTable
+import java.util.EnumSet
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Tells other entries what this one knows and takes in what they tell. */
+/**
+ * Tells other entries what this one knows and takes in what they tell.
+ *
+ * @param send sends a message to each of the given `ip:port`; any may be lost
+ */
 internal class Peers(
-    group: EventLoopGroup,
+    private val send: (PeerMessage, List<String>) -> Unit,
     private val self: String,
     private val record: PeerRecord,
     private val table: PeerTable,
@@ -26,8 +30,6 @@
     private val log: EventLog,
     private val pump: () -> Unit,
 ) : WatchDuty {
-    private val socket = PeerSocket(group, record.peers, ::receive, unreadable = {})
-
     private val began = ticker.now()
 
     /** Whether this entry takes requests, as peers are told. */
@@ -36,14 +38,12 @@
     /** Whether this entry has begun a planned stop. */
     var stopping: Boolean = false
 
-    override var storeAnswers: Boolean = true
+    private val unanswered = EnumSet.noneOf(Topic::class.java)
+    private val choice = FollowerChoice(self, record.zone)
 
     /** Requests of this entry at upstreams. */
     lateinit var loads: LoadBoard
 
-    /** Opens the socket. */
-    suspend fun start() = socket.start()
-
     /** Greets every known peer; finds those that have become silent. */
     fun hello() {
         val now = ticker.now()
@@ -59,15 +59,16 @@
             peers = record.peers,
             serving = serving,
             stopping = stopping,
-            storeAnswers = storeAnswers,
+            storeAnswers = unanswered.isEmpty(),
             stateVersion = book.stateVersion,
             upstreamVersion = book.upstreamVersion,
+            coveredVersion = book.coveredVersion,
             confirmedMs = confirmed,
             upMs = (now - began).inWholeMilliseconds,
             requestsPerS = loads.requestsPerS(now),
             load = loads.whole(),
         )
-        socket.send(hello, table.all.map { it.record.peers })
+        send(hello, table.all.map { it.record.peers })
     }
 
     /** Sends what changed at upstreams to the peers that serve requests. */
@@ -75,27 +76,21 @@
         val news = loads.take()
         if (news.isEmpty()) return
         val taking = table.live.filter { (it.hello?.requestsPerS ?: 0) > 0 }
-        socket.send(PeerMessage.LoadNews(self, news), taking.map { it.record.peers })
+        send(PeerMessage.LoadNews(self, news), taking.map { it.record.peers })
     }
 
     /** Sends news of a lost upstream. */
     fun sendCrash(fingerprint: Long, upstream: String) {
         log.log(GatewayEvent.CRASH_SUSPECT, fingerprint.toString(HEX), upstream)
-        socket.send(PeerMessage.CrashNews(self, fingerprint, upstream), table.live.map { it.record.peers })
+        send(PeerMessage.CrashNews(self, fingerprint, upstream), table.live.map { it.record.peers })
     }
 
-    /**
-     * In each zone the first of the entries that reach the store follows it for all; every entry does while nothing
-     * that it knows was confirmed lately.
-     */
-    override fun watches(): Boolean {
-        val now = ticker.now()
-        if (stopping) return false
-        if (now - book.confirmedAt > UNCONFIRMED) return true
-        return table.live.none {
-            val hello = it.hello
-            hello != null && it.record.zone == record.zone && it.name < self && hello.storeAnswers && !hello.stopping
-        }
+    override fun follows(): Boolean =
+        !stopping && choice.follows(table.live, unanswered.isEmpty(), ticker.now() - book.confirmedAt)
+
+    override fun answers(topic: Topic, answers: Boolean) {
+        val changed = if (answers) unanswered.remove(topic) else unanswered.add(topic)
+        if (changed) hello()
     }
 
     override fun known(topic: Topic): Long = if (topic == Topic.UPSTREAMS) book.coveredVersion else book.stateVersion
@@ -104,13 +99,14 @@
         if (topic == Topic.UPSTREAMS) {
             val news = rows.rows.map(PeerStateRow::of)
             if (news.sumOf { it.value?.size ?: 0 } > MAX_NEWS_BYTES) return hello()
-            socket.send(PeerMessage.UpstreamNews(self, after, news), table.live.map { it.record.peers })
+            send(PeerMessage.UpstreamNews(self, after, news), table.live.map { it.record.peers })
         } else {
             hello()
         }
     }
 
-    private fun receive(message: PeerMessage) {
+    /** Takes in what another entry sent. */
+    fun receive(message: PeerMessage) {
         when (message) {
             is PeerMessage.Hello -> heard(message)
             is PeerMessage.LoadNews -> loads.receive(message.from, message.load, whole = false)
@@ -130,6 +126,7 @@
         if (table.heard(hello, now)) log.log(GatewayEvent.PEER_SEEN, hello.from, hello.callers)
         if (hello.stopping && !left) log.log(GatewayEvent.PEER_LEAVING, hello.from)
         loads.receive(hello.from, hello.load, whole = true)
+        if (hello.upstreamVersion <= book.coveredVersion) book.coverTo(hello.coveredVersion)
         val asFresh = hello.upstreamVersion <= book.upstreamVersion && hello.stateVersion <= book.stateVersion
         if (asFresh) book.confirm(now - hello.confirmedMs.milliseconds - ON_THE_WAY)
     }
@@ -137,9 +134,6 @@
     private companion object {
         const val HEX = 16
 
-        /** Longer than the entry that follows the store needs to find a silent connection and read again. */
-        val UNCONFIRMED = 2_200.milliseconds
-
         /** Time that a greeting may take from one entry to another. */
         val ON_THE_WAY = 50.milliseconds
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -22,6 +22,7 @@
 import io.poplarwood.gateway.metrics.GatewayMetrics
 import io.poplarwood.gateway.peer.LoadBoard
 import io.poplarwood.gateway.peer.PeerRecord
+import io.poplarwood.gateway.peer.PeerSocket
 import io.poplarwood.gateway.peer.PeerSync
 import io.poplarwood.gateway.peer.PeerTable
 import io.poplarwood.gateway.peer.Peers
@@ -84,10 +85,13 @@
         links.closeIdle(it.record.address)
     }
     private val record = PeerRecord(settings.zone, settings.listen.callers, settings.listen.peers)
-    private val peers =
-        Peers(group, settings.entry, record, peerTable, upstreams, book, decisions.crashes, ticker, log) { pump() }
+    private val socket = PeerSocket(group, record.peers, { peers.receive(it) }, unreadable = {})
+    private val peers: Peers =
+        Peers(socket::send, settings.entry, record, peerTable, upstreams, book, decisions.crashes, ticker, log) {
+            pump()
+        }
     private val loads = LoadBoard(upstreams, ticker, ::loadsChanged, peers::sendCrash).also { peers.loads = it }
-    private val sync = PeerSync(caller, peerTable, book, ticker, settings.zone)
+    private val sync = PeerSync(::askPeer, peerTable, book, ticker, settings.zone)
     private val register = EntryRegister(store, settings.entry, record, peerTable, ticker, log)
     private val lessons = Lessons(decisions, loads, log)
     private val requestLog = RequestLog(log, metrics, ticker)
@@ -124,9 +128,9 @@
         listener.start()
         InternalListener(group, settings.listen.readiness, ::readiness).start()
         InternalListener(group, settings.listen.directory, ::directoryAnswer).start()
-        InternalListener(group, settings.listen.peers) { sync.answer() }.start()
+        InternalListener(group, settings.listen.peers) { InternalReply(OK, CBOR, sync.answer()) }.start()
         InternalListener(group, settings.listen.metrics) { InternalReply(OK, "text/plain", metrics.text()) }.start()
-        peers.start()
+        socket.start()
         keep("greetings") { greet() }
         keep("sync") { every(SYNC) { sync.tick() } }
         keep("tick") { every(TICK) { tick() } }
@@ -183,6 +187,9 @@
         watcher.follow()
     }
 
+    private suspend fun askPeer(peer: String): ByteArray? =
+        caller.call(peer, "GET", PEER_STATE, null, PEER_LIMIT)?.takeIf { it.status == OK }?.body
+
     private suspend fun greet() = every(HELLO) { peers.hello() }
 
     private fun tick() {
@@ -251,6 +258,11 @@
         const val NOT_FOUND = 404
         const val UNAVAILABLE = 503
         const val TEXT = "text/plain"
+        const val CBOR = "application/cbor"
+
+        /** Path of the peers' listener that answers with all that the entry knows of the store. */
+        const val PEER_STATE = "/state"
+        val PEER_LIMIT = 500.milliseconds
 
         /** Bytes of request bodies held at once, for each megabyte of the VM. */
         const val BODY_SHARE_BYTES = 160L * 1024
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateBook.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateBook.kt
@@ -28,6 +28,7 @@
 ) {
     private val upstreamRows = LinkedHashMap<String, StoredRow>()
     private val lapsing = HashMap<String, Duration>()
+    private val removedAt = RecentVersions(REMOVED_KEPT)
     private var stateRow: StoredRow? = null
 
     /** The desired state in force; null until one is known. */
@@ -66,29 +67,44 @@
         }
     }
 
-    /** Takes in all registrations that there are; those that are missing have been removed. */
-    fun takeAllUpstreams(rows: Rows, source: String) {
+    /**
+     * Takes in all registrations that there are; those that are missing have been removed.
+     *
+     * @param newest store version of the newest change among them, when it is known; a removal leaves no row
+     */
+    fun takeAllUpstreams(rows: Rows, source: String, newest: Long? = null) {
         if (rows.version < coveredVersion) return
         for (row in rows.rows) takeUpstream(row, source)
         val present = rows.rows.mapTo(HashSet()) { it.key }
-        upstreamRows.keys.filter { it !in present }.forEach { vanished(it, rows.version, source) }
-        covered(rows)
+        val missing = upstreamRows.keys.filter { it !in present }
+        missing.forEach { vanished(it, rows.version, source) }
+        val removal = if (missing.isEmpty()) 0 else rows.version
+        covered(rows, newest ?: maxOf(removal, newestOf(rows)))
     }
 
-    /** Takes in registrations that changed after version [after]; false when changes before these are missing here. */
+    /**
+     * Takes in registrations, the first ones that changed after version [after]. False when changes before these are
+     * missing here: the rows hold all the same, but not all up to their version are known.
+     */
     fun takeChangedUpstreams(rows: Rows, after: Long, source: String): Boolean {
-        if (after > coveredVersion) return false
         for (row in rows.rows) takeUpstream(row, source)
-        covered(rows)
-        return true
+        val complete = after <= coveredVersion
+        if (complete) covered(rows, newestOf(rows)) else changed()
+        return complete
     }
 
-    private fun covered(rows: Rows) {
+    /** Notes that no registration changed up to [version]. */
+    fun coverTo(version: Long) {
+        coveredVersion = maxOf(coveredVersion, version)
+    }
+
+    private fun newestOf(rows: Rows): Long = rows.rows.maxOfOrNull { it.version } ?: 0
+
+    private fun covered(rows: Rows, newest: Long) {
         coveredVersion = maxOf(coveredVersion, rows.version)
-        val newest = rows.rows.maxOfOrNull { it.version } ?: return
-        val news = newest > upstreamVersion
-        upstreamVersion = maxOf(upstreamVersion, newest)
-        if (news) learnt()
+        if (newest <= upstreamVersion) return
+        upstreamVersion = newest
+        learnt()
     }
 
     /** Notes that what is known was the newest at [at]. */
@@ -130,7 +146,7 @@
 
     private fun takeUpstream(row: StoredRow, source: String) {
         val known = upstreamRows[row.key]
-        if (known != null && known.version >= row.version) return
+        if (maxOf(known?.version ?: 0, removedAt[row.key]) >= row.version) return
         val value = row.value ?: return vanished(row.key, row.version, source)
         upstreamRows[row.key] = row
         lapsing.remove(row.key)
@@ -155,6 +171,7 @@
     }
 
     private fun vanished(key: String, version: Long, source: String) {
+        removedAt[key] = version
         if (upstreamRows.remove(key) == null) return
         val row = upstreams[key] ?: return
         val now = ticker.now()
@@ -176,5 +193,8 @@
         /** Registrations of live upstreams that lapsed are back within two seconds of the store's return. */
         val LAPSE_GRACE = 1_700.milliseconds
         val ANSWERED_LATELY = 3_000.milliseconds
+
+        /** Removed registrations whose versions are kept, against older news of them. */
+        const val REMOVED_KEPT = 2_000
     }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateStore.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateStore.kt
@@ -8,8 +8,11 @@
     /** All rows of [topic] as of one moment. */
     suspend fun read(topic: Topic): Result<Rows, StoreError>
 
-    /** Rows of [topic] that changed after version [after], as soon as there is one, and none after [wait]. */
-    suspend fun changes(topic: Topic, after: Long, wait: Duration): Result<Rows, StoreError>
+    /**
+     * Rows of [topic] that changed after version [after], as soon as there is one, and none after [wait]. The call
+     * counts as unanswered after [limit].
+     */
+    suspend fun changes(topic: Topic, after: Long, wait: Duration, limit: Duration): Result<Rows, StoreError>
 
     /** Writes the row [key] of [Topic.ENTRIES]. */
     suspend fun announce(key: String, value: ByteArray): Result<Unit, StoreError>
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateWatcher.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateWatcher.kt
@@ -28,6 +28,7 @@
     private var version = 0L
     private var lostAt: Duration? = null
     private var pause = FIRST_PAUSE
+    private var margin = MARGIN
 
     /** Reads the topic until it succeeds once. */
     suspend fun readWhole() {
@@ -41,12 +42,13 @@
     /** Follows changes; does not return. */
     suspend fun follow() {
         while (true) {
-            if (!duty.watches()) {
+            if (!duty.follows()) {
                 delay(DUTY_CHECK)
                 continue
             }
             version = maxOf(version, duty.known(topic))
-            val result = store.changes(topic, version, WAIT)
+            val wait = if (lostAt == null) WAIT else Duration.ZERO
+            val result = store.changes(topic, version, wait, wait + margin)
             if (result.getError() == StoreError.HistoryGone) {
                 readWhole()
                 continue
@@ -62,6 +64,7 @@
     }
 
     private fun take(rows: Rows, whole: Boolean) {
+        val before = if (topic == Topic.UPSTREAMS) book.upstreamVersion else version
         when (topic) {
             Topic.DESIRED_STATE -> book.takeState(rows, "store")
             Topic.UPSTREAMS -> {
@@ -70,16 +73,16 @@
             }
             Topic.ENTRIES -> Unit
         }
-        val before = version
         version = maxOf(version, rows.version)
         if (!whole && rows.rows.isNotEmpty()) duty.changed(topic, rows, before)
     }
 
     private fun <T> succeed(result: Result<T, StoreError>): T? {
         val value = result.getOrElse { error ->
+            margin = minOf(margin * 2, LONGEST_MARGIN)
             if (lostAt == null) {
                 lostAt = ticker.now()
-                duty.storeAnswers = false
+                duty.answers(topic, false)
                 log.log(GatewayEvent.STORE_LOST, topic, error, version)
             }
             return null
@@ -90,7 +93,8 @@
             book.lapseUntil = ticker.now() + AFTER_OUTAGE
         }
         lostAt = null
-        duty.storeAnswers = true
+        duty.answers(topic, true)
+        margin = maxOf(margin / 2, MARGIN)
         pause = FIRST_PAUSE
         return value
     }
@@ -102,7 +106,11 @@
 
     private companion object {
         /** Time that a call waits for a change. A connection that went silent is found when it is over. */
-        val WAIT = 1_200.milliseconds
+        val WAIT = 800.milliseconds
+
+        /** What an answer may take beside the time that the store waits; grows while the store is slow. */
+        val MARGIN = 400.milliseconds
+        val LONGEST_MARGIN = 1_600.milliseconds
         val DUTY_CHECK = 50.milliseconds
 
         /** Changes come in groups; those that follow shortly are fetched by one call. */
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/directory/DirectorySpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/directory/DirectorySpec.kt
@@ -30,6 +30,7 @@
             storeAnswers = true,
             stateVersion = 1,
             upstreamVersion = 1,
+            coveredVersion = 1,
             confirmedMs = 0,
             upMs = 60_000,
             requestsPerS = rate,
--- /dev/null
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/EntryCell.kt
@@ -0,0 +1,127 @@
+package io.poplarwood.gateway.peer
+
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.poplarwood.api.random.SplitMix
+import io.poplarwood.api.time.Ticker
+import io.poplarwood.gateway.decision.CrashSuspects
+import io.poplarwood.gateway.log.EventLog
+import io.poplarwood.gateway.route.CallerLimits
+import io.poplarwood.gateway.route.DesiredState
+import io.poplarwood.gateway.store.StateBook
+import io.poplarwood.gateway.store.StateCodec
+import io.poplarwood.gateway.store.StateWatcher
+import io.poplarwood.gateway.store.StoreError
+import io.poplarwood.gateway.store.Topic
+import io.poplarwood.gateway.support.upstream
+import io.poplarwood.gateway.upstream.Upstream
+import io.poplarwood.gateway.upstream.UpstreamTable
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Entries that share a store and tell each other of it, in virtual time; datagrams take [DATAGRAM]. */
+internal class EntryCell(
+    private val scope: CoroutineScope,
+    private val ticker: Ticker,
+    private val store: SharedStore,
+    zones: List<String>,
+    perZone: Int,
+    seed: Long,
+) {
+    private val random = SplitMix(seed)
+
+    /** Addresses that get no datagrams. */
+    val deaf = HashSet<String>()
+
+    val entries: List<Entry> = zones.flatMap { zone -> List(perZone) { Entry("$zone-${it + 1}", zone) } }
+
+    /** Starts all entries at random times within a second. */
+    fun start() = entries.forEach { entry ->
+        scope.launch {
+            delay((random.nextDouble() * 1_000).milliseconds)
+            entry.run()
+        }
+    }
+
+    private suspend fun ask(peer: String): ByteArray? {
+        delay(DATAGRAM * 2)
+        return entries.first { it.name == peer }.sync.answer()
+    }
+
+    private fun send(message: PeerMessage, to: List<String>) {
+        for (address in to) {
+            scope.launch {
+                delay(DATAGRAM)
+                if (address !in deaf) entries.first { it.name == address }.peers.receive(message)
+            }
+        }
+    }
+
+    /** One entry; its name is its address. */
+    inner class Entry(val name: String, zone: String) {
+        private val table = PeerTable(name)
+        private val log = EventLog()
+        val upstreams = UpstreamTable()
+        val book = StateBook(WordCodec, upstreams, ticker, log, {}, {})
+        val peers = Peers(
+            ::send,
+            name,
+            PeerRecord(zone, name, name),
+            table,
+            upstreams,
+            book,
+            CrashSuspects(),
+            ticker,
+            log,
+        ) {}
+
+        val sync = PeerSync(::ask, table, book, ticker, zone)
+
+        init {
+            peers.loads = LoadBoard(upstreams, ticker, {}, { _, _ -> })
+        }
+
+        /** Whether work may go to [upstream]. */
+        fun uses(upstream: String) = upstreams[upstream]?.record?.draining == false
+
+        fun run() {
+            for (other in entries) table.know(other.name, PeerRecord("", other.name, other.name), ticker.now())
+            for (topic in listOf(Topic.DESIRED_STATE, Topic.UPSTREAMS)) {
+                val watcher = StateWatcher(topic, store.of(name), book, ticker, random, log, peers)
+                scope.launch {
+                    watcher.readWhole()
+                    watcher.follow()
+                }
+            }
+            every(HELLO) { peers.hello() }
+            every(SYNC) { sync.tick() }
+        }
+    }
+
+    private fun every(period: Duration, act: suspend () -> Unit) = scope.launch {
+        while (true) {
+            act()
+            delay(period)
+        }
+    }
+
+    /** The value of a row is a state's version or an upstream's state. */
+    private object WordCodec : StateCodec {
+        override fun desiredState(value: ByteArray): Result<DesiredState, StoreError.Malformed> =
+            Ok(DesiredState(value.decodeToString().toLong(), persistentMapOf(), persistentListOf(), CallerLimits()))
+
+        override fun upstream(key: String, value: ByteArray): Result<Upstream, StoreError.Malformed> =
+            Ok(upstream(key, draining = value.decodeToString() == "draining"))
+    }
+
+    private companion object {
+        val DATAGRAM: Duration = 2.milliseconds
+        val HELLO: Duration = 400.milliseconds
+        val SYNC: Duration = 100.milliseconds
+    }
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SharedStore.kt
@@ -0,0 +1,84 @@
+package io.poplarwood.gateway.peer
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.poplarwood.gateway.store.Rows
+import io.poplarwood.gateway.store.StateStore
+import io.poplarwood.gateway.store.StoreError
+import io.poplarwood.gateway.store.StoredRow
+import io.poplarwood.gateway.store.Topic
+import kotlinx.coroutines.delay
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** One store for several entries in virtual time, which can be silent towards some of them. */
+internal class SharedStore {
+    private val rows = Topic.entries.associateWith { LinkedHashMap<String, StoredRow>() }
+    private var version = 0L
+
+    /** Entries whose calls get no answer. */
+    val silentTo = HashSet<String>()
+
+    /** Changes up to this version are no longer told. */
+    private var forgotten = 0L
+
+    /** Calls made, by entry. */
+    val calls = HashMap<String, Int>()
+
+    /** Writes [value], or removes the row when it is null. */
+    fun put(topic: Topic, key: String, value: String?) {
+        version++
+        rows.getValue(topic)[key] = StoredRow(key, value?.encodeToByteArray(), version)
+    }
+
+    /** Forgets the changes so far. */
+    fun forget() {
+        forgotten = version
+    }
+
+    /** Lets the store's version grow without a row of interest. */
+    fun pass() {
+        version++
+    }
+
+    /** The store as [entry] reaches it. */
+    fun of(entry: String): StateStore = object : StateStore {
+        override suspend fun read(topic: Topic): Result<Rows, StoreError> =
+            answer(LIMIT) { Rows(rows.getValue(topic).values.filter { it.value != null }, version) }
+
+        override suspend fun changes(
+            topic: Topic,
+            after: Long,
+            wait: Duration,
+            limit: Duration,
+        ): Result<Rows, StoreError> {
+            var waited = Duration.ZERO
+            while (entry !in silentTo && waited < wait && newer(topic, after).isEmpty()) {
+                delay(STEP)
+                waited += STEP
+            }
+            if (after < forgotten && entry !in silentTo) return Err(StoreError.HistoryGone)
+            return answer(limit - waited) { Rows(newer(topic, after), version) }
+        }
+
+        override suspend fun announce(key: String, value: ByteArray): Result<Unit, StoreError> = answer(LIMIT) {}
+
+        private suspend fun <T> answer(limit: Duration, value: () -> T): Result<T, StoreError> {
+            calls.merge(entry, 1, Int::plus)
+            if (entry !in silentTo) {
+                delay(STEP)
+                return Ok(value())
+            }
+            delay(limit)
+            return Err(StoreError.NoAnswer)
+        }
+    }
+
+    private fun newer(topic: Topic, after: Long) = rows.getValue(topic).values.filter { it.version > after }
+
+    private companion object {
+        val STEP = 4.milliseconds
+        val LIMIT = 1_000.milliseconds
+    }
+}
