--- /dev/null
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/ProbeChoice.kt
@@ -0,0 +1,41 @@
+package io.poplarwood.gateway.decision
+
+import io.poplarwood.gateway.upstream.UpstreamRow
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Which upstreams are asked how slow they are at this moment.
+ *
+ * Answers load where slowness changes more often than answers of the upstream come: placing then knows too little. An
+ * upstream whose answers tell often enough is not asked, nor is one of a service that has no requests, and being asked
+ * takes a small part of an upstream's slots at most.
+ *
+ * @param mostPerS probes of one upstream in a second
+ */
+internal class ProbeChoice(private val mostPerS: () -> Double) {
+    /** Those of [rows], upstreams of one service, that are to be asked at [now]. */
+    fun due(rows: List<UpstreamRow>, now: Duration): List<UpstreamRow> {
+        if (rows.none { it.inFlight > 0 }) return emptyList()
+        return rows.filter { !it.record.draining && now - maxOf(it.slownessAt, it.probedAt) >= interval(it) }
+    }
+
+    private fun interval(row: UpstreamRow): Duration {
+        val least = maxOf(FRESH, 1.seconds / mostPerS().coerceAtLeast(LEAST_PER_S))
+        if (row.slownessAt == -Duration.INFINITE && row.lastAnswerAt > -Duration.INFINITE) return maxOf(least, SILENT)
+        return maxOf(least, row.probeTook / (SLOT_SHARE * row.record.slots.coerceAtLeast(1)))
+    }
+
+    private companion object {
+        /** A figure that is younger than this is as good as a new one. */
+        val FRESH = 50.milliseconds
+
+        /** Upstreams that answer without telling of their slowness are asked this seldom. */
+        val SILENT = 5.seconds
+
+        /** Share of an upstream's slots that probes may take. */
+        const val SLOT_SHARE = 0.02
+        const val LEAST_PER_S = 0.01
+    }
+}
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/HeaderNames.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/HeaderNames.kt
@@ -6,6 +6,7 @@
  * @property requestId identifies one request of one caller; upstreams echo it
  * @property deadlineMs milliseconds that the caller, or the upstream, has left
  * @property expectUpstream id of the only upstream that may run the request
+ * @property upstreamId id of the upstream that answers a health check
  * @property signature the upstream's proof that it made the answer
  * @property notExecuted on answers of upstreams that did not run the request
  * @property load load of the upstream at the time of its answer
@@ -14,6 +15,7 @@
     val requestId: String,
     val deadlineMs: String,
     val expectUpstream: String,
+    val upstreamId: String,
     val signature: String,
     val notExecuted: String,
     val load: String,
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/HttpCaller.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/HttpCaller.kt
@@ -22,7 +22,7 @@
 import kotlin.coroutines.resume
 import kotlin.time.Duration
 
-/** Makes the entry's own HTTP calls, to the store and to peers; keeps connections. Used from the event loop only. */
+/** Makes the entry's own HTTP calls: to the store, to peers, to upstreams about their load. Used from the event loop only. */
 class HttpCaller(group: EventLoopGroup) {
     private val idle = HashMap<String, ArrayDeque<CallLink>>()
     private val bootstrap = Bootstrap().group(group).channel(NioSocketChannel::class.java)
@@ -94,7 +94,7 @@
             msg.content().readBytes(body)
             keep = keep && HttpUtil.isKeepAlive(msg) && done != null
             if (!keep) ctx.close()
-            finish(HttpReply(msg.status().code(), body))
+            finish(HttpReply(msg.status().code(), body, msg.headers()))
         }
 
         override fun channelInactive(ctx: ChannelHandlerContext) = finish(null)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/HttpReply.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/HttpReply.kt
@@ -1,4 +1,7 @@
 package io.poplarwood.gateway.http
 
+import io.netty.handler.codec.http.EmptyHttpHeaders
+import io.netty.handler.codec.http.HttpHeaders
+
 /** A whole answer to a call of the entry's own. */
-class HttpReply(val status: Int, val body: ByteArray)
+class HttpReply(val status: Int, val body: ByteArray, val headers: HttpHeaders = EmptyHttpHeaders.INSTANCE)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/GatewayMetrics.kt
@@ -15,6 +15,7 @@
     private val requests = counter("poplarwood_gateway_requests", "Requests by how they ended.", "outcome")
     private val repeats = counter("poplarwood_gateway_repeats", "Further attempts by reason.", "reason")
     private val connections = counter("poplarwood_gateway_upstream_connections", "Connections opened to upstreams.")
+    private val probes = counter("poplarwood_gateway_probes", "Questions to upstreams for their load.")
     private val latency = Histogram.builder().name("poplarwood_gateway_latency").unit(Unit.SECONDS)
         .help("Time from a request's head to its answer.").labelNames("priority").classicOnly()
         .classicUpperBounds(*LATENCY_BOUNDS).register(registry)
@@ -33,6 +34,9 @@
     /** Counts a connection opened to an upstream. */
     fun connected() = connections.inc()
 
+    /** Counts a question to an upstream for its load. */
+    fun probed() = probes.inc()
+
     /** All metrics in the text format. */
     fun text(): ByteArray {
         val out = ByteArrayOutputStream()
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -7,6 +7,7 @@
 import io.poplarwood.api.time.Ticker
 import io.poplarwood.gateway.adapter.Adapter
 import io.poplarwood.gateway.decision.Placement
+import io.poplarwood.gateway.decision.ProbeChoice
 import io.poplarwood.gateway.decision.RepeatBudget
 import io.poplarwood.gateway.decision.RepeatLimits
 import io.poplarwood.gateway.directory.Directory
@@ -26,6 +27,7 @@
 import io.poplarwood.gateway.peer.PeerSync
 import io.poplarwood.gateway.peer.PeerTable
 import io.poplarwood.gateway.peer.Peers
+import io.poplarwood.gateway.peer.ProbeDuty
 import io.poplarwood.gateway.route.CallerLimits
 import io.poplarwood.gateway.route.SplitPicker
 import io.poplarwood.gateway.settings.GatewaySettings
@@ -91,6 +93,17 @@
             pump()
         }
     private val loads = LoadBoard(upstreams, ticker, ::loadsChanged, peers::sendCrash).also { peers.loads = it }
+    private val prober = Prober(
+        upstreams,
+        ProbeChoice { bounds.probesPerS },
+        ProbeDuty(settings.entry, Zone(settings.zone), peerTable) { serving },
+        book,
+        loads,
+        caller,
+        adapter.headers,
+        metrics,
+        ticker,
+    )
     private val sync = PeerSync(::askPeer, peerTable, book, ticker, settings.zone)
     private val register = EntryRegister(store, settings.entry, record, peerTable, ticker, log)
     private val lessons = Lessons(decisions, loads, log)
@@ -133,6 +146,7 @@
         socket.start()
         keep("greetings") { greet() }
         keep("sync") { every(SYNC) { sync.tick() } }
+        keep("probes") { every(PROBES) { prober.tick(scope) } }
         keep("tick") { every(TICK) { tick() } }
         val started = sinceStart().inWholeMilliseconds
         log.log(GatewayEvent.STARTED, settings.entry, settings.zone, settings.listen.callers, started)
@@ -269,6 +283,7 @@
         val HELLO = 400.milliseconds
         val SYNC = 100.milliseconds
 
+        val PROBES = 20.milliseconds
         val TICK = 200.milliseconds
 
         /** News of load are gathered for this long. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/UpstreamRow.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/UpstreamRow.kt
@@ -26,6 +26,10 @@
     var slowness: Double = 1.0
     var slownessAt: Duration = -Duration.INFINITE
 
+    /** When it was last asked for its load, and how long an answer to that takes. */
+    var probedAt: Duration = -Duration.INFINITE
+    var probeTook: Duration = Duration.ZERO
+
     /** Consecutive attempts that brought no answer. */
     var failures: Int = 0
 
--- /dev/null
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/decision/ProbeChoiceSpec.kt
@@ -0,0 +1,64 @@
+package io.poplarwood.gateway.decision
+
+import io.poplarwood.gateway.support.upstream
+import io.poplarwood.gateway.upstream.UpstreamRow
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class ProbeChoiceSpec {
+    private var mostPerS = 60.0
+    private val choice = ProbeChoice { mostPerS }
+    private val now = 100.seconds
+    private val busy = UpstreamRow(upstream("busy"), now).also { it.ownInFlight = 1 }
+
+    private fun row(id: String = "u", draining: Boolean = false, told: Int = 1_000, asked: Int = 1_000) =
+        UpstreamRow(upstream(id, draining = draining), now).also {
+            it.noteSlowness(1.0, now - told.milliseconds)
+            it.probedAt = now - asked.milliseconds
+        }
+
+    private fun due(row: UpstreamRow) =
+        choice.due(listOf(row, busy.also { it.noteSlowness(1.0, now) }), now) == listOf(row)
+
+    /** Guards against probes that cost an upstream's slots although its answers tell enough. */
+    @Test
+    fun `asks only upstreams of which nothing was heard lately`() {
+        assertEquals(true, due(row()))
+        assertEquals(false, due(row(told = 10)))
+        assertEquals(false, due(row(asked = 10)))
+    }
+
+    /** Guards against probes while nobody needs what they tell. */
+    @Test
+    fun `asks nobody while the service has no requests`() {
+        assertEquals(emptyList(), choice.due(listOf(row()), now))
+    }
+
+    @Test
+    fun `does not ask one that leaves`() = assertEquals(false, due(row(draining = true)))
+
+    /** Guards against probes that take a noticeable part of the slots where an answer to them takes long. */
+    @Test
+    fun `asks less often where an answer takes long`() {
+        val slow = row(told = 200, asked = 200).also { it.probeTook = 20.milliseconds }
+        assertEquals(false, due(slow))
+    }
+
+    /** Guards against more probes than the installation allows. */
+    @Test
+    fun `keeps to the installation's limit`() {
+        mostPerS = 2.0
+        assertEquals(false, due(row(told = 400, asked = 400)))
+        assertEquals(true, due(row(told = 600, asked = 600)))
+    }
+
+    @Test
+    fun `seldom asks one that answers without telling`() {
+        val silent = UpstreamRow(upstream("u"), now).also { it.lastAnswerAt = now - 2.seconds }
+        assertEquals(true, due(silent))
+        silent.probedAt = now - 2.seconds
+        assertEquals(false, due(silent))
+    }
+}
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/load/NoisyCell.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/load/NoisyCell.kt
@@ -6,12 +6,29 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
+/**
+ * What a [NoisyCell] consists of.
+ *
+ * @property slowShare share of the upstreams that are slow at any moment
+ * @property workMs mean time of a request at an idle upstream of usual speed, in milliseconds
+ * @property rate requests a second
+ * @property aimMs time within which callers want their answers, in milliseconds
+ */
+internal class CellShape(
+    val upstreams: Int,
+    val slots: Int,
+    val slowShare: Double,
+    val workMs: Double,
+    val rate: Double,
+    val aimMs: Int,
+)
+
 /**
  * Load model in virtual time: upstreams with few slots that share their hosts with others. At any moment some work
  * several times as slowly, and which ones changes every [NOISE_SPAN]; one that is full is slower still and queues the
  * rest. Times are milliseconds of the model.
  */
-internal class NoisyCell(seed: Long, private val upstreams: Int = 20, private val slots: Int = 3) {
+internal class NoisyCell(seed: Long, private val shape: CellShape) {
     private class Event(val at: Double, val order: Long, val act: () -> Unit)
 
     private class Upstream {
@@ -21,7 +38,7 @@
 
     private val random = SplitMix(seed)
     private val events = PriorityQueue<Event>(compareBy<Event> { it.at }.thenBy { it.order })
-    private val all = List(upstreams) { Upstream() }
+    private val all = List(shape.upstreams) { Upstream() }
     private val noise = HashMap<Long, Double>()
     private var order = 0L
 
@@ -39,13 +56,21 @@
     /** How many times as long as usual work takes at [upstream] now. */
     fun slowness(upstream: Int): Double {
         val span = (now / NOISE_SPAN).toLong()
-        return noise.getOrPut(span * upstreams + upstream) { if (random.nextDouble() < NOISY) NOISE else 1.0 }
+        return noise.getOrPut(span * shape.upstreams + upstream) {
+            if (random.nextDouble() <
+                shape.slowShare
+            ) {
+                NOISE
+            } else {
+                1.0
+            }
+        }
     }
 
     /** Runs a request at [upstream]; [done] is told the slowness that the answer reports. */
     fun run(upstream: Int, done: (slowness: Double) -> Unit) {
         val row = all[upstream]
-        if (row.running < slots) begin(upstream, done) else row.queue += { begin(upstream, done) }
+        if (row.running < shape.slots) begin(upstream, done) else row.queue += { begin(upstream, done) }
     }
 
     /** Lets [perSecond] requests a second arrive for [seconds], then ends what is running. */
@@ -70,8 +95,8 @@
     private fun begin(upstream: Int, done: (Double) -> Unit) {
         val row = all[upstream]
         row.running++
-        val crowded = if (row.running > slots * KNEE) CROWDED else 1.0
-        val work = WORK_MS * (1 - SPREAD + 2 * SPREAD * random.nextDouble())
+        val crowded = if (row.running > shape.slots * KNEE) CROWDED else 1.0
+        val work = shape.workMs * (1 - SPREAD + 2 * SPREAD * random.nextDouble())
         after(work * slowness(upstream) * crowded) {
             row.running--
             done(slowness(upstream))
@@ -79,13 +104,11 @@
         }
     }
 
-    companion object {
-        const val WORK_MS = 60.0
-        private const val SPREAD = 0.3
-        private const val NOISE_SPAN = 300.0
-        private const val NOISY = 0.25
-        private const val NOISE = 4.0
-        private const val KNEE = 0.8
-        private const val CROWDED = 1.7
+    private companion object {
+        const val SPREAD = 0.3
+        const val NOISE_SPAN = 300.0
+        const val NOISE = 4.0
+        const val KNEE = 0.8
+        const val CROWDED = 1.7
     }
 }
