--- a/cli/src/main/kotlin/io/poplarwood/cli/command/ExplainCommand.kt
+++ b/cli/src/main/kotlin/io/poplarwood/cli/command/ExplainCommand.kt
@@ -1,17 +1,59 @@
 package io.poplarwood.cli.command
 
+import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.UsageError
 import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.groups.cooccurring
+import com.github.ajalt.clikt.parameters.groups.provideDelegate
+import com.github.ajalt.clikt.parameters.options.help
+import com.github.ajalt.clikt.parameters.options.multiple
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.inputStream
 import io.poplarwood.bench.report.Figures
 import io.poplarwood.bench.report.TextTable
+import io.poplarwood.gateway.explain.Explanation
+import io.poplarwood.gateway.explain.LogRecord
+import java.io.InputStream
+import java.time.Instant
 
-internal class ExplainCommand : OperatorCommand("explain") {
+internal class ExplainCommand : CliktCommand("explain") {
     private val request by argument("REQUEST-ID")
+    private val operator by OperatorOptions().cooccurring()
+    private val logs: List<InputStream> by option("--log", metavar = "FILE")
+        .help(
+            "Log of a gateway, - for standard input; repeat it for several VMs. What stands before a line's JSON is its VM.",
+        )
+        .inputStream()
+        .multiple()
 
-    override fun help(context: Context) = "Shows the decisions about one request; name all entries, each keeps its own."
+    override fun help(context: Context) =
+        "Shows the decisions about one request: from the logs of gateways, or from entries, each of which keeps its own."
 
     override fun run() {
-        val report = ask { it.explain(request) }
+        val asked = operator
+        when {
+            logs.isNotEmpty() -> fromLogs()
+            asked != null -> fromEntries(asked)
+            else -> throw UsageError("name the gateways' logs, or entries and a token")
+        }
+    }
+
+    private fun fromLogs() {
+        val records = logs.flatMapIndexed { i, log -> read(log, "log ${i + 1}") }
+        val explanation = Explanation.of(request, records) ?: fail("no line names $request")
+        val rows = explanation.records.map {
+            listOf(Instant.ofEpochMilli(it.atMs).toString(), it.source, it.event, it.message, it.shownFields())
+        }
+        echo(TextTable.format(listOf("time", "entry", "event", "meaning", "values"), rows))
+        explanation.causes.forEach { echo(it) }
+    }
+
+    private fun read(log: InputStream, name: String): List<LogRecord> =
+        log.bufferedReader().useLines { lines -> lines.mapNotNull { LogRecord.parse(it, name) }.toList() }
+
+    private fun fromEntries(operator: OperatorOptions) {
+        val report = ask(operator) { it.explain(request) }
         echo("${report.requestId} at ${report.entry}: ${report.service}/${report.workClass}, ${report.outcome}")
         val rows = report.steps.map {
             listOf(it.decision, Figures.shown(it.afterMs), it.upstream ?: "–", it.reason ?: "–")
--- a/cli/src/test/kotlin/io/poplarwood/cli/CommandLineSpec.kt
+++ b/cli/src/test/kotlin/io/poplarwood/cli/CommandLineSpec.kt
@@ -113,6 +113,40 @@
         }
     }
 
+    @Nested
+    inner class `explain` {
+        private fun log(): String {
+            val line = """{"timestamp":1000,"kvpList":[{"event":"PW-6202"},{"requestId":"r1"},{"reason":"full"}]}"""
+            return Files.writeString(directory.resolve("vm-1.log"), "0.1 vm-1 $line\nnot a log line\n").toString()
+        }
+
+        /** Guards against an operator left with an id and a folder of logs. */
+        @Test
+        fun `reads a gateway's log, and exits 1 when it does not name the request`() {
+            val known = run(listOf("explain", "r1", "--log", log()))
+            assertEquals(0, known.code)
+            assertTrue("vm-1: The service had more work than it carries" in known.out, known.out)
+            assertEquals(1, run(listOf("explain", "r2", "--log", log())).code)
+        }
+
+        @Test
+        fun `without a log or an entry exits 2`() {
+            assertEquals(2, run(listOf("explain", "r1")).code)
+            assertEquals(2, run(listOf("explain", "r1", "--log", "${directory.resolve("absent")}")).code)
+        }
+    }
+
+    @Nested
+    inner class `check of a gateway's settings` {
+        @Test
+        fun `exits 2 with one line for a file that holds none`() {
+            val file = Files.writeString(directory.resolve("g.jsonc"), "[".repeat(20_000))
+            val checked = run(listOf("check", "--gateway", "--settings", "$file"))
+            assertEquals(2, checked.code)
+            assertEquals(1, checked.out.trim().lines().size)
+        }
+    }
+
     @Nested
     inner class `bench` {
         /** Guards against a missed target that goes unseen, and JSON that is mixed with progress lines. */
--- /dev/null
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/explain/Cause.kt
@@ -0,0 +1,30 @@
+package io.poplarwood.gateway.explain
+
+import io.poplarwood.gateway.runtime.Outcome
+
+/** What usually brings a request to each end, and where in the log to look further. */
+internal object Cause {
+    private val byOutcome = mapOf(
+        Outcome.ANSWERED to "An upstream answered; the trail tells which attempt took the time.",
+        Outcome.NO_ROUTE to "The desired state of that version has no route for its host and path.",
+        Outcome.NO_STATE to
+            "The entry knew no desired state yet: it had just started, or reached neither store nor peer.",
+        Outcome.STOPPING to "The entry was about to end its planned stop; another would have taken the request.",
+        Outcome.NO_UPSTREAM to
+            "Every upstream of the service had left, rested after failures, or had the request already.",
+        Outcome.FULL to
+            "The service had more work than it carries: the wait for a slot was, or would have been, too long.",
+        Outcome.SHED to "Each upstream that it was sent to said that it did not run it, and no other was allowed.",
+        Outcome.NOT_SENT to "No upstream that was chosen accepted a connection.",
+        Outcome.CRASHES to "Three upstreams were lost while they ran this request; it is not sent to a fourth.",
+        Outcome.EXPIRED to "Its time ended while it waited for a slot.",
+        Outcome.LOST to "An upstream had it and the connection ended without a whole answer; it may have run.",
+        Outcome.TIMED_OUT to "An upstream had it and did not answer in time; it may have run.",
+        Outcome.FAILED to "The entry failed; PW-6007 near it has the error.",
+        Outcome.CALLER_LEFT to "The caller ended its connection first.",
+    )
+
+    /** A sentence on requests that ended as [label] says. */
+    fun of(label: String): String =
+        byOutcome.entries.firstOrNull { it.key.label == label }?.value ?: "Unknown end \"$label\"."
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/explain/ExplanationSpec.kt
@@ -0,0 +1,59 @@
+package io.poplarwood.gateway.explain
+
+import io.poplarwood.gateway.runtime.Outcome
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+
+class ExplanationSpec {
+    private fun line(at: Long, event: String, vararg fields: Pair<String, String>): String {
+        val pairs = (listOf("event" to event) + fields).joinToString(",") { "{\"${it.first}\":\"${it.second}\"}" }
+        return """{"timestamp":$at,"level":"INFO","kvpList": [$pairs],"message":"m","throwable":null}"""
+    }
+
+    private val lost = line(
+        10_000,
+        "PW-6203",
+        "requestId" to "r1",
+        "reason" to "lost",
+        "trail" to "u1(load=1/3):connection_lost+12ms",
+    )
+
+    private fun records(vararg lines: String) = lines.mapNotNull { LogRecord.parse(it, "a.log") }
+
+    /** Guards against a cause that lies in a line without the request's id. */
+    @Test
+    fun `shows what the entries knew of the request's upstreams, by time`() {
+        val all = records(
+            lost,
+            "e2 " + line(10_400, "PW-6304", "upstream" to "u1", "failures" to "2"),
+            line(9_000, "PW-6301", "upstream" to "u1"),
+            line(9_000, "PW-6301", "upstream" to "u2"),
+            line(30_000, "PW-6302", "upstream" to "u1"),
+        )
+        val explanation = assertNotNull(Explanation.of("r1", all))
+        assertEquals(listOf("PW-6301", "PW-6203", "PW-6304"), explanation.records.map { it.event })
+        assertEquals(listOf("a.log", "a.log", "e2"), explanation.records.map { it.source })
+    }
+
+    @Test
+    fun `shows the store and the starts of the request's own entry only`() {
+        val all = records(lost, line(9_500, "PW-6101"), "e2 " + line(9_500, "PW-6101"))
+        assertEquals(listOf("PW-6101", "PW-6203"), Explanation.of("r1", all)?.records?.map { it.event })
+    }
+
+    @Test
+    fun `of an id that no line names is none`() = assertNull(Explanation.of("r2", records(lost)))
+
+    /** Guards against a log with other programs' lines, cut lines or bytes that are not text. */
+    @Test
+    fun `skips lines that are not a gateway's`() =
+        assertEquals(1, records("", "event", "{\"event\":", "{\"kvpList\":3,\"event\":1}", "\u0000{event", lost).size)
+
+    /** Guards against an end that has no sentence. */
+    @Test
+    fun `knows every end of a request`() =
+        Outcome.entries.forEach { assertFalse(Cause.of(it.label).startsWith("Unknown"), it.label) }
+}
