--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamLink.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamLink.kt
@@ -35,7 +35,8 @@
     private val released: (UpstreamLink) -> Unit,
     private val closed: (UpstreamLink) -> Unit,
     private val decoder: AnswerDecoder,
-) : ChannelInboundHandlerAdapter() {
+) : ChannelInboundHandlerAdapter(),
+    KeptLink {
     private var outbound: Outbound? = null
     private var done: ((AttemptResult) -> Unit)? = null
     private var head: HttpResponse? = null
@@ -47,15 +48,13 @@
     private var doubtful = false
 
     /** When the last answer ended. */
-    var idleSince: Duration = ticker.now()
+    override var idleSince: Duration = ticker.now()
         private set
 
-    /** Time for which the upstream keeps the connection open while it is idle. */
-    var keepAlive: Duration = DEFAULT_KEEP_ALIVE
+    override var keepAlive: Duration = DEFAULT_KEEP_ALIVE
         private set
 
-    /** True while the connection can carry a request. */
-    val open: Boolean get() = channel.isActive && !broken
+    override val open: Boolean get() = channel.isActive && !broken
 
     /** Sends [request] and tells [whenDone] the result once. */
     fun send(request: Outbound, whenDone: (AttemptResult) -> Unit) {
@@ -67,7 +66,7 @@
     }
 
     /** Gives up on the request and ends the connection, by which the upstream learns of it. */
-    fun abandon() {
+    override fun abandon() {
         broken = true
         done = null
         channel.close()
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamLinks.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamLinks.kt
@@ -13,7 +13,6 @@
 import kotlin.coroutines.resume
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /** Connections to upstreams by address, kept for reuse. Used from the event loop only. */
 internal class UpstreamLinks(
@@ -22,7 +21,7 @@
     private val ticker: Ticker,
     private val opened: () -> Unit = {},
 ) {
-    private val idle = HashMap<String, ArrayDeque<UpstreamLink>>()
+    private val idle = HashMap<String, IdleLinks<UpstreamLink>>()
     private val open = HashMap<String, HashSet<UpstreamLink>>()
     private val bootstrap = Bootstrap().group(group).channel(NioSocketChannel::class.java)
         .option(ChannelOption.TCP_NODELAY, true)
@@ -34,7 +33,7 @@
      * @param maxIdle a kept connection that was idle for longer is not used
      */
     suspend fun exchange(address: String, outbound: Outbound, maxIdle: Duration): AttemptResult {
-        val link = reuse(address, maxIdle) ?: connect(address) ?: return AttemptResult.NotSent
+        val link = idle[address]?.take(ticker.now(), maxIdle) ?: connect(address) ?: return AttemptResult.NotSent
         return suspendCancellableCoroutine { continuation ->
             continuation.invokeOnCancellation { link.abandon() }
             link.send(outbound) { if (continuation.isActive) continuation.resume(it) }
@@ -43,32 +42,11 @@
 
     /** Ends the idle connections to [address]. */
     fun closeIdle(address: String) {
-        idle.remove(address)?.forEach { it.abandon() }
+        idle.remove(address)?.closeAll()
     }
 
     /** Ends connections that the other end is about to close. */
-    fun closeExpired() {
-        val now = ticker.now()
-        for (links in idle.values) {
-            while (true) {
-                val oldest = links.firstOrNull() ?: break
-                if (now - oldest.idleSince < oldest.keepAlive - MARGIN) break
-                links.removeFirst()
-                oldest.abandon()
-            }
-        }
-    }
-
-    private fun reuse(address: String, maxIdle: Duration): UpstreamLink? {
-        val links = idle[address] ?: return null
-        val now = ticker.now()
-        while (true) {
-            val link = links.removeLastOrNull() ?: return null
-            val age = now - link.idleSince
-            if (link.open && age <= link.keepAlive - MARGIN && age <= maxIdle) return link
-            link.abandon()
-        }
-    }
+    fun closeExpired() = idle.values.forEach { it.closeExpired(ticker.now()) }
 
     private suspend fun connect(address: String): UpstreamLink? {
         opened()
@@ -94,11 +72,7 @@
         }
     }
 
-    private fun release(address: String, link: UpstreamLink) {
-        val links = idle.getOrPut(address) { ArrayDeque() }
-        links.addLast(link)
-        if (links.size > MAX_IDLE) links.removeFirst().abandon()
-    }
+    private fun release(address: String, link: UpstreamLink) = idle.getOrPut(address) { IdleLinks(MAX_IDLE) }.add(link)
 
     private fun forget(address: String, link: UpstreamLink) {
         idle[address]?.remove(link)
@@ -113,9 +87,6 @@
         /** An upstream in the same region answers within milliseconds; one without power never does. */
         private val CONNECT_TIMEOUT = 250.milliseconds
 
-        /** A connection that the other end closes at this moment must not be used. */
-        private val MARGIN = 1.seconds
-
         /** Idle connections kept for each upstream. */
         private const val MAX_IDLE = 6
     }
