--- a/cli/src/main/kotlin/io/poplarwood/cli/command/ExplainCommand.kt
+++ b/cli/src/main/kotlin/io/poplarwood/cli/command/ExplainCommand.kt
@@ -22,13 +22,13 @@
     private val operator by OperatorOptions().cooccurring()
     private val logs: List<InputStream> by option("--log", metavar = "FILE")
         .help(
-            "Log of a gateway, - for standard input; repeat it for several VMs. What stands before a line's JSON is its VM.",
+            "Log of a gateway, - for standard input; repeat it for several VMs. A name before a line's JSON is its VM.",
         )
         .inputStream()
         .multiple()
 
     override fun help(context: Context) =
-        "Shows the decisions about one request: from the logs of gateways, or from entries, each of which keeps its own."
+        "Shows the decisions about one request: from logs of gateways, or from entries, each of which keeps its own."
 
     override fun run() {
         val asked = operator
@@ -42,10 +42,10 @@
     private fun fromLogs() {
         val records = logs.flatMapIndexed { i, log -> read(log, "log ${i + 1}") }
         val explanation = Explanation.of(request, records) ?: fail("no line names $request")
-        val rows = explanation.records.map {
-            listOf(Instant.ofEpochMilli(it.atMs).toString(), it.source, it.event, it.message, it.shownFields())
+        for (record in explanation.records) {
+            val at = Instant.ofEpochMilli(record.atMs)
+            echo("$at  ${record.source}  ${record.event}  ${record.message}: ${record.shownFields()}")
         }
-        echo(TextTable.format(listOf("time", "entry", "event", "meaning", "values"), rows))
         explanation.causes.forEach { echo(it) }
     }
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/SecondAttempt.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/SecondAttempt.kt
@@ -7,9 +7,10 @@
 /**
  * Whether an idempotent request that is still unanswered goes to a second upstream.
  *
- * Answers upstreams that turned slow or silent after they took a request. Three cases pay: the upstream has just told
- * that it is slow; the request has taken unusually long and a second attempt would soon be too late for the aim; or it
- * has taken so long that its answer is most likely lost.
+ * Answers upstreams that were slow when they took a request, or are silent. Three cases pay: the upstream told that it
+ * was slow when the run began, so that the request would miss its aim there; the request has taken unusually long and a
+ * second attempt would soon be too late for the aim; or it has taken so long that its answer is most likely lost. That
+ * an upstream turned slow later says little: the time of a run follows from how slow its upstream was at its start.
  */
 internal class SecondAttempt(private val placement: Placement) {
     /**
@@ -28,31 +29,20 @@
         now: Duration,
     ): Boolean {
         val there = placement.expected(second, job, now)
-        if (toldSlow(first, waited, job, now)) return there < left && there < remaining(first, waited, job, now)
-        val lastChance = there < left && left - there <= LAST_CHANCE && waited >= job.work * UNUSUAL
-        return lastChance || waited > long * LOST
+        val slow = (first.slownessNear(now - waited) ?: 1.0).coerceAtLeast(1.0)
+        val missesAim = slow >= SLOW && left < job.work * slow - waited
+        val lastChance = left - there <= LAST_CHANCE && waited >= job.work * UNUSUAL
+        return (there < left && (missesAim || lastChance)) || waited > long * slow * LOST
     }
 
     /** Time after which the first look at a request of [job] is worthwhile. */
     fun firstLook(job: Job): Duration = job.work * EARLY
 
-    private fun toldSlow(first: UpstreamRow, waited: Duration, job: Job, now: Duration) =
-        now - first.slownessAt < FRESH && first.slowness >= SLOW && waited > job.work * EARLY
-
-    private fun remaining(first: UpstreamRow, waited: Duration, job: Job, now: Duration): Duration {
-        val slow = placement.slowness(first, now)
-        return (job.work * slow - waited).coerceAtLeast(job.work * (slow - 1) * REMAINING)
-    }
-
     private companion object {
-        /** Share of a slow run that is still to come when it has outlasted a usual one. */
-        const val REMAINING = 0.5
-
-        /** Age below which a figure of slowness is taken for what holds now. */
-        val FRESH = 120.milliseconds
+        /** An upstream that is this many times slower than usual is taken to be slowed by its neighbours. */
         const val SLOW = 2.5
 
-        /** Share of the usual time after which a run at an upstream that has just told of its slowness is given up. */
+        /** Share of the usual time after which a run at an upstream that was slow at its start may be given up. */
         const val EARLY = 0.5
 
         /** A run that lasts this many times the usual is more likely at a slow upstream than long in itself. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Lessons.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Lessons.kt
@@ -48,7 +48,7 @@
             decisions.suspicion.failed(attempt.row)
         } else {
             decisions.suspicion.answered(attempt.row, now)
-            worked(attempt, route, now, result.load?.slowness ?: 1.0)
+            worked(attempt, route, now, attempt.row.slownessNear(attempt.sentAt) ?: result.load?.slowness ?: 1.0)
         }
     }
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/UpstreamRow.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/UpstreamRow.kt
@@ -26,6 +26,8 @@
     var slowness: Double = 1.0
     var slownessAt: Duration = -Duration.INFINITE
 
+    private val figures = SlownessHistory()
+
     /** When it was last asked for its load, and how long an answer to that takes. */
     var probedAt: Duration = -Duration.INFINITE
     var probeTook: Duration = Duration.ZERO
@@ -67,5 +69,9 @@
     fun noteSlowness(value: Double, now: Duration) {
         slowness = value
         slownessAt = now
+        figures.add(value, now)
     }
+
+    /** How slow it was about [time], as far as it told shortly before or after; null when it did not. */
+    fun slownessNear(time: Duration): Double? = figures.near(time)
 }
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/decision/SecondAttemptSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/decision/SecondAttemptSpec.kt
@@ -19,12 +19,12 @@
     private val decision = SecondAttempt(Placement(Zone("z1"), SplitMix(1)))
 
     /** 60 ms of work, an aim 180 ms after the start. */
-    private fun after(waitedMs: Int) = decision.worthwhile(
+    private fun after(waitedMs: Int, aimMs: Int = 180) = decision.worthwhile(
         first,
         waitedMs.milliseconds,
         job(60),
         130.milliseconds,
-        (180 - waitedMs).milliseconds,
+        (aimMs - waitedMs).milliseconds,
         second,
         now,
     )
@@ -41,12 +41,36 @@
     }
 
     @Test
-    fun `a run at an upstream that has just told of its slowness is repeated early`() {
-        first.noteSlowness(4.0, now - 10.milliseconds)
+    fun `a run at an upstream that was slow when it began is repeated early`() {
+        first.noteSlowness(4.0, now - 50.milliseconds)
         assertTrue(after(40))
     }
 
+    /** Guards against repeats of runs that are quick although their upstream has turned slow since they began. */
+    @Test
+    fun `a run at an upstream that turned slow since is not repeated for that`() {
+        first.noteSlowness(1.0, now - 45.milliseconds)
+        first.noteSlowness(4.0, now - 5.milliseconds)
+        assertFalse(after(40))
+    }
+
+    /** Guards against repeats, out of the budget of all, of requests that are slow but in time. */
+    @Test
+    fun `a run at a slow upstream that meets its aim even so is not repeated`() {
+        first.noteSlowness(4.0, now - 40.milliseconds)
+        assertFalse(after(40, aimMs = 600))
+    }
+
     /** Guards against a lost answer that is awaited until the deadline. */
     @Test
     fun `a run whose answer must be lost is repeated after its aim too`() = assertTrue(after(300))
+
+    /** Guards against the same where the upstream was slow, and against a repeat of a run that is merely slow. */
+    @Test
+    fun `a run at a slow upstream is taken for lost later`() {
+        first.noteSlowness(4.0, now - 300.milliseconds)
+        assertFalse(after(300))
+        first.noteSlowness(4.0, now - 1_100.milliseconds)
+        assertTrue(after(1_100))
+    }
 }
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/load/NoisyNeighboursSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/load/NoisyNeighboursSpec.kt
@@ -79,7 +79,7 @@
             val held = row.inFlight
             val started = cell.now
             cell.run(row.id.drop(1).toInt()) { slowness ->
-                val ratio = (cell.now - started) / slowness / shape.workMs
+                val ratio = (cell.now - started) / (row.slownessNear(started.milliseconds) ?: slowness) / shape.workMs
                 entry.placement.crowding.note(SERVICE, maxOf(held, row.inFlight), row.record.slots, ratio)
                 row.ownInFlight--
                 row.noteSlowness(slowness, cell.time)
