--- a/bench/src/main/kotlin/io/poplarwood/bench/flood/FloodSettings.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/flood/FloodSettings.kt
@@ -7,7 +7,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Shape of a [FloodCell]: the service `counter` of docs/design.md, 1.6, concentrated on two entries per zone.
+ * Shape of a [FloodCell]: the service `counter` of the ordering host, concentrated on two entries per zone.
  *
  * @property service mean service time of a request of size 1
  * @property lostPart part of the answered attempts whose answer is lost on the way
