--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -127,8 +127,8 @@
         { book.state?.limits ?: CallerLimits() },
         flow::serve,
     )
-    private val endpoints = adapter.endpoints
     private val began = ticker.now()
+    private val answers = EntryAnswers(adapter.endpoints, directory, ::ownEntry)
     private var stopping = false
     private val serving: Boolean get() = book.state != null && upstreams.all.isNotEmpty() && !stopping
 
@@ -139,8 +139,8 @@
         keep("upstreams") { follow(Topic.UPSTREAMS) }
         keep("entries") { register.run() }
         listener.start()
-        InternalListener(group, settings.listen.readiness, ::readiness).start()
-        InternalListener(group, settings.listen.directory, ::directoryAnswer).start()
+        InternalListener(group, settings.listen.readiness, answers::readiness).start()
+        InternalListener(group, settings.listen.directory, answers::entries).start()
         InternalListener(group, settings.listen.peers) { InternalReply(OK, CBOR, sync.answer()) }.start()
         InternalListener(group, settings.listen.metrics) { InternalReply(OK, "text/plain", metrics.text()) }.start()
         socket.start()
@@ -201,6 +201,8 @@
         watcher.follow()
     }
 
+    private fun ownEntry() = ticker.now().let { OwnEntry(serving, it - began, loads.requestsPerS(it)) }
+
     private suspend fun askPeer(peer: String): ByteArray? =
         caller.call(peer, "GET", PEER_STATE, null, PEER_LIMIT)?.takeIf { it.status == OK }?.body
 
@@ -230,21 +232,6 @@
         peers.hello()
     }
 
-    private fun readiness(target: String): InternalReply = when {
-        !endpoints.asksReadiness(target) -> InternalReply(NOT_FOUND, TEXT, ByteArray(0))
-        serving -> InternalReply(OK, TEXT, ByteArray(0))
-        else -> InternalReply(UNAVAILABLE, TEXT, ByteArray(0))
-    }
-
-    private fun directoryAnswer(target: String): InternalReply {
-        val question = endpoints.directoryQuestion(target) ?: return InternalReply(NOT_FOUND, TEXT, ByteArray(0))
-        val now = ticker.now()
-        val own = OwnEntry(serving, now - began, loads.requestsPerS(now))
-        val entries = directory.entriesFor(question.zone, own)
-        if (entries.isEmpty()) return InternalReply(UNAVAILABLE, TEXT, ByteArray(0))
-        return InternalReply(OK, "application/json", endpoints.directoryAnswer(entries, directory.lifetime))
-    }
-
     /** Runs [part] and starts it again when it fails. */
     private fun keep(part: String, work: suspend () -> Unit) = scope.launch {
         while (true) {
@@ -269,8 +256,6 @@
 
     private companion object {
         const val OK = 200
-        const val NOT_FOUND = 404
-        const val UNAVAILABLE = 503
         const val TEXT = "text/plain"
         const val CBOR = "application/cbor"
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateWatcher.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateWatcher.kt
@@ -14,7 +14,8 @@
 
 /**
  * Follows one topic of the store for the [book]: one whole read, then changes. A call that fails is made again after a
- * pause that grows, with jitter, so that a store that returns is not met by all entries at once.
+ * pause that grows, with jitter, so that a store that returns is not met by all entries at once. An entry that others
+ * follow the store for still looks for its return after a failure, so that it can take over again.
  */
 internal class StateWatcher(
     private val topic: Topic,
@@ -42,7 +43,7 @@
     /** Follows changes; does not return. */
     suspend fun follow() {
         while (true) {
-            if (!duty.follows()) {
+            if (!duty.follows() && lostAt == null) {
                 delay(DUTY_CHECK)
                 continue
             }
@@ -100,7 +101,8 @@
     }
 
     private suspend fun backOff() {
-        delay(pause * (HALF + random.nextDouble()))
+        val next = if (duty.follows()) pause else OFF_DUTY_PAUSE
+        delay(next * (HALF + random.nextDouble()))
         pause = minOf(pause * 2, LONGEST_PAUSE)
     }
 
@@ -117,6 +119,9 @@
         val GATHER = 150.milliseconds
         val FIRST_PAUSE = 50.milliseconds
         val LONGEST_PAUSE = 500.milliseconds
+
+        /** Between looks whether the store answers again, while others follow it. */
+        val OFF_DUTY_PAUSE = 2.seconds
         val AFTER_OUTAGE = 4.seconds
         const val HALF = 0.5
     }
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/EntryCell.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/EntryCell.kt
@@ -86,6 +86,9 @@
             peers.loads = LoadBoard(upstreams, ticker, {}, { _, _ -> })
         }
 
+        /** Other entries that say that the store answers them. */
+        fun told(): Set<String> = table.all.filter { it.hello?.storeAnswers == true }.mapTo(HashSet()) { it.name }
+
         /** Whether work may go to [upstream]. */
         fun uses(upstream: String) = upstreams[upstream]?.record?.draining == false
 
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/NewsOfUpstreamsSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/NewsOfUpstreamsSpec.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
 import kotlin.test.Test
+import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -96,6 +97,20 @@
         assertTrue(worst < LEAVING_BOUND, "took $worst")
     }
 
+    /** Guards against entries that count as cut off from the store for good after one outage. */
+    @Test
+    fun `go on after an outage, when every entry can follow the store again`() = runTest {
+        val cell = cell(1)
+        delay(5.seconds)
+        store.silentTo += cell.entries.map { it.name }
+        delay(4.seconds)
+        store.silentTo.clear()
+        delay(5.seconds)
+        val all = cell.entries.mapTo(HashSet()) { it.name }
+        cell.entries.forEach { assertEquals(all - it.name, it.told()) }
+        backgroundScope.coroutineContext.cancelChildren()
+    }
+
     private companion object {
         const val PER_ZONE = 4
         const val LONGEST_MS = 10_000
