--- a/bench/src/main/kotlin/io/poplarwood/bench/overhead/LoadGenerator.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/overhead/EchoLoad.kt
@@ -8,7 +8,7 @@
 import kotlin.time.Duration
 
 /** Sends requests on [connections] kept connections, each from its own thread. */
-internal class LoadGenerator(private val port: Int, private val connections: Int) {
+internal class EchoLoad(private val port: Int, private val connections: Int) {
     /** Sends without pause for [time]; returns requests answered a second. */
     fun capacity(time: Duration): Double {
         val counts = LongArray(connections)
--- a/bench/src/main/kotlin/io/poplarwood/bench/overhead/OverheadBench.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/overhead/OverheadBench.kt
@@ -44,14 +44,14 @@
             server.start()
             try {
                 val warmed = if (warm) server.warmUp() else 0
-                val first = LoadGenerator(server.port, FIRST_CONNECTIONS).latencies(FIRST_RATE, 1.seconds)
-                LoadGenerator(upstream.port, CONNECTIONS).capacity(time)
-                LoadGenerator(server.port, CONNECTIONS).capacity(time)
-                val capacity = LoadGenerator(server.port, CONNECTIONS).capacity(time)
+                val first = EchoLoad(server.port, FIRST_CONNECTIONS).latencies(FIRST_RATE, 1.seconds)
+                EchoLoad(upstream.port, CONNECTIONS).capacity(time)
+                EchoLoad(server.port, CONNECTIONS).capacity(time)
+                val capacity = EchoLoad(server.port, CONNECTIONS).capacity(time)
                 val rate = capacity * LOAD
-                val direct = LoadGenerator(upstream.port, CONNECTIONS).latencies(rate, time)
+                val direct = EchoLoad(upstream.port, CONNECTIONS).latencies(rate, time)
                 val before = ThreadUse.now()
-                val added = LoadGenerator(server.port, CONNECTIONS).latencies(rate, time)
+                val added = EchoLoad(server.port, CONNECTIONS).latencies(rate, time)
                 val used = ThreadUse.now().mapValues { (stage, use) -> use - (before[stage] ?: ThreadUse(0, 0)) }
                 return report(options, capacity, direct, added, used, first, warmed)
             } finally {
--- a/bench/src/main/kotlin/io/poplarwood/bench/overhead/ThreadUse.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/overhead/ThreadUse.kt
@@ -30,7 +30,7 @@
 
         private fun stageOf(thread: String): String =
             when {
-                thread.startsWith(LoadGenerator.THREADS) -> "callers"
+                thread.startsWith(EchoLoad.THREADS) -> "callers"
                 thread.startsWith(EchoUpstream.THREADS) -> "upstream"
                 thread.startsWith("eventLoopGroupProxy") -> "listener"
                 thread.startsWith("httpclient-dispatch") || thread.startsWith("Ktor-client") -> "client"
--- a/bench/src/main/kotlin/io/poplarwood/bench/routing/RoutingBench.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/routing/RoutingBench.kt
@@ -37,7 +37,7 @@
         return table(scenario, floor, figures) to RoutingChecks.of(scenario, floor, figures)
     }
 
-    private fun table(scenario: Scenario, floor: Figures, figures: Map<String, Figures>): BenchTable {
+    private fun table(scenario: Scenario, floor: RoutingFigures, figures: Map<String, RoutingFigures>): BenchTable {
         val columns = listOf(
             "urgent p50 / floor",
             "urgent p99 / floor",
@@ -59,7 +59,7 @@
         return "$base; load ${(s.load * PERCENT).toInt()}%$after"
     }
 
-    private fun row(name: String, f: Figures, floor: Figures) = BenchRow(
+    private fun row(name: String, f: RoutingFigures, floor: RoutingFigures) = BenchRow(
         name,
         listOf(
             f.p50 / floor.p50,
--- a/bench/src/main/kotlin/io/poplarwood/bench/routing/RoutingChecks.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/routing/RoutingChecks.kt
@@ -15,7 +15,7 @@
     private const val CONTROL_BYTES = 13_000.0
 
     /** The checks of [scenario]; none of latency for loads that the design states no target for. */
-    fun of(scenario: Scenario, floor: Figures, figures: Map<String, Figures>): List<BenchCheck> {
+    fun of(scenario: Scenario, floor: RoutingFigures, figures: Map<String, RoutingFigures>): List<BenchCheck> {
         val shipped = figures.getValue(Policies.SHIPPED)
         val two = figures.getValue(Policies.TWO_CHOICES)
         val at = "${scenario.name}, ${scenario.upstreams}x${scenario.slots}"
--- a/bench/src/main/kotlin/io/poplarwood/bench/routing/RoutingRun.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/routing/RoutingRun.kt
@@ -12,7 +12,7 @@
 /** Runs policies and the floor under a scenario, with equal arrivals. */
 internal class RoutingRun(private val scenario: Scenario, private val seed: Long, private val length: Duration) {
     /** Runs [policy]. */
-    fun run(policy: Policy): Figures {
+    fun run(policy: Policy): RoutingFigures {
         val cell = VirtualCell(scenario.cell(seed), policy.router)
         val outcomes = Outcomes()
         scenario.schedule(cell)
@@ -27,15 +27,15 @@
     }
 
     /** Runs the omniscient queue. */
-    fun floor(): Figures {
+    fun floor(): RoutingFigures {
         val outcomes = Outcomes()
         OmniscientQueue(scenario, seed).run(length, outcomes)
         return figures(outcomes, 0.0)
     }
 
-    private fun figures(o: Outcomes, bytes: Double): Figures {
+    private fun figures(o: Outcomes, bytes: Double): RoutingFigures {
         check(o.requests > 0) { "the run of ${scenario.name} measured no request" }
-        return Figures(
+        return RoutingFigures(
             p50 = o.latency(Rank.URGENT, 0.5),
             p99 = o.latency(Rank.URGENT, 0.99),
             p999 = o.latency(Rank.URGENT, 0.999),
--- a/entry/src/main/kotlin/io/poplarwood/entry/node/EntryNode.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/node/EntryNode.kt
@@ -28,7 +28,7 @@
 import io.poplarwood.fleet.store.StorePorts
 import io.poplarwood.peer.PeerNetwork
 import io.poplarwood.peer.PeerSettings
-import io.poplarwood.peer.forward.Forwarder
+import io.poplarwood.peer.forward.OwnerForwarder
 import io.poplarwood.peer.message.PeerMessage
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.coroutines.CoroutineScope
@@ -64,7 +64,7 @@
     private var fleet: FleetRunner? = null
 
     @Volatile
-    private var forwards: Forwarder? = null
+    private var forwards: OwnerForwarder? = null
 
     @Volatile
     private var self: EntryRef = first
@@ -120,7 +120,8 @@
         peerAddress = "${settings.address}:${peers.port}"
         val desk = ForwardDesk(settings.http.keptBodyBytes, keys) { calls }
         val seed = random.nextLong()
-        forwards = Forwarder(scope, SplitMix(seed), peers::send, peers::put) { _, head, body -> desk.serve(head, body) }
+        forwards =
+            OwnerForwarder(scope, SplitMix(seed), peers::send, peers::put) { _, head, body -> desk.serve(head, body) }
         val node = FleetNode(
             FleetSettings(first, peerAddress, callersAddress, settings.zone, settings.seeds, settings.budget),
             ticker,
--- a/entry/src/main/kotlin/io/poplarwood/entry/node/NodeKeys.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/node/NodeKeys.kt
@@ -23,7 +23,7 @@
 import io.poplarwood.peer.forward.BodyLost
 import io.poplarwood.peer.forward.ForwardFailure
 import io.poplarwood.peer.forward.ForwardReply
-import io.poplarwood.peer.forward.Forwarder
+import io.poplarwood.peer.forward.OwnerForwarder
 import io.poplarwood.peer.message.ForwardAnswerHead
 import io.poplarwood.peer.message.ForwardHead
 import io.poplarwood.peer.message.HeaderLine
@@ -44,7 +44,7 @@
     private val members: Members,
     private val clock: Clock,
     private val random: Randomness,
-    private val links: () -> Forwarder?,
+    private val links: () -> OwnerForwarder?,
 ) : KeyService {
     private val table = KeyTable()
     private var claimsAfter = ""
--- a/entry/src/main/kotlin/io/poplarwood/entry/node/PeerInbox.kt
+++ b/entry/src/main/kotlin/io/poplarwood/entry/node/PeerInbox.kt
@@ -5,7 +5,7 @@
 import io.poplarwood.decision.crash.CrashTable
 import io.poplarwood.fleet.FleetRunner
 import io.poplarwood.fleet.message.Peer
-import io.poplarwood.peer.forward.Forwarder
+import io.poplarwood.peer.forward.OwnerForwarder
 import io.poplarwood.peer.message.PeerMessage
 
 /** Hands messages of peers to the part that they are for. */
@@ -13,7 +13,7 @@
     private val services: Services,
     private val crashes: CrashTable,
     private val ticker: Ticker,
-    private val forwards: () -> Forwarder?,
+    private val forwards: () -> OwnerForwarder?,
     private val fleet: () -> FleetRunner?,
 ) {
     /** Takes in [message] from the verified peer [from]. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -93,7 +93,7 @@
             pump()
         }
     private val loads = LoadBoard(upstreams, ticker, ::loadsChanged, peers::sendCrash).also { peers.loads = it }
-    private val prober = Prober(
+    private val prober = LoadProber(
         upstreams,
         ProbeChoice { bounds.probesPerS },
         ProbeDuty(settings.entry, Zone(settings.zone), peerTable) { serving },
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Prober.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/LoadProber.kt
@@ -17,7 +17,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Asks upstreams how slow they are and hands what they tell to all entries. */
-internal class Prober(
+internal class LoadProber(
     private val upstreams: UpstreamTable,
     private val choice: ProbeChoice,
     private val duty: ProbeDuty,
--- a/peer/src/main/kotlin/io/poplarwood/peer/forward/Forwarder.kt
+++ b/peer/src/main/kotlin/io/poplarwood/peer/forward/OwnerForwarder.kt
@@ -25,15 +25,15 @@
  * @param put sends part of a body, waiting while the queue is full
  * @param serve answers a request that another entry forwarded here
  */
-class Forwarder(
+class OwnerForwarder(
     private val scope: CoroutineScope,
     private val random: Randomness,
     private val offer: (String, PeerMessage) -> Boolean,
     private val put: suspend (String, PeerMessage) -> Unit,
     private val serve: suspend (Peer, ForwardHead, Body) -> ForwardReply,
 ) {
-    private val asked = ConcurrentHashMap<Long, Exchange>()
-    private val serving = ConcurrentHashMap<Pair<String, Long>, Exchange>()
+    private val asked = ConcurrentHashMap<Long, OwnerExchange>()
+    private val serving = ConcurrentHashMap<Pair<String, Long>, OwnerExchange>()
 
     /** Exchanges under way here, both ways. */
     val underWay: Int get() = asked.size + serving.size
@@ -87,7 +87,7 @@
 
     /** The link to [address] was lost: what was under way there may lack frames. */
     fun linkLost(address: String) {
-        (asked.values + serving.values).filter { it.address == address }.forEach(Exchange::lost)
+        (asked.values + serving.values).filter { it.address == address }.forEach(OwnerExchange::lost)
         asked.values.removeIf { it.address == address }
         serving.values.removeIf { it.address == address }
     }
@@ -105,7 +105,7 @@
             .also { it.start() }
     }
 
-    private suspend fun answer(from: Peer, message: PeerMessage.Forward, exchange: Exchange) {
+    private suspend fun answer(from: Peer, message: PeerMessage.Forward, exchange: OwnerExchange) {
         try {
             val reply = serve(from, message.head, exchange.inflow.body(scope))
             put(from.address, PeerMessage.ForwardAnswer(message.id, reply.head))
@@ -117,7 +117,7 @@
         }
     }
 
-    private suspend fun sendBody(exchange: Exchange, id: Long, body: Body, ofAnswer: Boolean) {
+    private suspend fun sendBody(exchange: OwnerExchange, id: Long, body: Body, ofAnswer: Boolean) {
         try {
             exchange.outflow.send(body)
         } catch (e: CancellationException) {
@@ -141,22 +141,22 @@
         if (message.ofAnswer) asked.remove(message.id)
     }
 
-    private fun find(from: Peer, id: Long, ofAnswer: Boolean): Exchange? =
+    private fun find(from: Peer, id: Long, ofAnswer: Boolean): OwnerExchange? =
         if (ofAnswer) asked[id] else serving[from.address to id]
 
-    private fun abandon(id: Long, exchange: Exchange) {
+    private fun abandon(id: Long, exchange: OwnerExchange) {
         if (asked.remove(id) == null) return
         exchange.lost()
         offer(exchange.address, PeerMessage.ForwardEnd(id, ofAnswer = false))
     }
 
-    private fun exchange(address: String, id: Long, asking: Boolean): Exchange {
+    private fun exchange(address: String, id: Long, asking: Boolean): OwnerExchange {
         val inflow = Inflow(
             credit = { chunks -> offer(address, PeerMessage.BodyCredit(id, ofAnswer = asking, chunks = chunks)) },
             abandoned = { if (asking) asked[id]?.let { abandon(id, it) } },
         )
         val outflow = Outflow(id, ofAnswer = !asking) { put(address, it) }
-        return Exchange(address, inflow, outflow)
+        return OwnerExchange(address, inflow, outflow)
     }
 
     private companion object {
--- a/peer/src/test/kotlin/io/poplarwood/peer/ForwarderSpec.kt
+++ b/peer/src/test/kotlin/io/poplarwood/peer/OwnerForwarderSpec.kt
@@ -9,7 +9,7 @@
 import io.poplarwood.peer.forward.BodyLost
 import io.poplarwood.peer.forward.ForwardFailure
 import io.poplarwood.peer.forward.ForwardReply
-import io.poplarwood.peer.forward.Forwarder
+import io.poplarwood.peer.forward.OwnerForwarder
 import io.poplarwood.peer.message.ForwardAnswerHead
 import io.poplarwood.peer.message.ForwardHead
 import io.poplarwood.peer.message.PeerMessage
@@ -30,10 +30,10 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-class ForwarderSpec {
+class OwnerForwarderSpec {
     private val open = ArrayList<AutoCloseable>()
     private val head = ForwardHead(RequestId("r1"), ServiceName("s"), "POST", "/orders", emptyList(), 1_000)
-    private val forwarders = HashMap<TestEntry, Forwarder>()
+    private val forwarders = HashMap<TestEntry, OwnerForwarder>()
 
     @AfterEach
     fun closeAll() = open.asReversed().forEach { it.close() }
@@ -42,7 +42,7 @@
         val entry = TestEntry(name) { me, from, message -> forwarders.getValue(me).receive(from, message) }
         val network = entry.network
         forwarders[entry] =
-            Forwarder(entry.scope, SplitMix(1), network::send, network::put) { _, _, body -> serve(body) }
+            OwnerForwarder(entry.scope, SplitMix(1), network::send, network::put) { _, _, body -> serve(body) }
         open += entry
         return entry
     }
