--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -271,7 +271,7 @@
         val PROBES = 20.milliseconds
         val TICK = 200.milliseconds
 
-        /** News of load are gathered for this long. */
+        /** News of load are gathered for this long, since every entry has to read each of them. */
         val LOAD_NEWS = 3.milliseconds
         val RESTART = 200.milliseconds
         const val CLOSE_LIMIT_MS = 2_000L
