Let entries speak by role: few of each zone take callers, the others greet only these

Cause: every entry greeted every other 2.5 times a second with all its numbers, and news of load went to every entry with requests.

Change: - ActiveChoice: the entries of a zone that take its callers, by warmth, capacity of the VM (new in the settings and in the entry's record) and name; as few as carry the zone's load. Standbys hear only these and go by the lead's choice. - GreetingPlan: whom an entry greets. Cut-off entries meet again by greetings in turn; a zone whose entries are all lost chooses anew among those that hear nobody. - News of load go to entries of the zone after 3 ms as before, to others after 20 ms, and only to those with requests. - News of upstreams are relayed by the lead of each other zone. A peer is asked for what the asker lacks, not for all. - The store is followed by entries that take callers; when nobody hears of it, entries look for it at a pace they share.

Ruled out: slower greetings (callers would be sent to lost entries for longer, and the square stays); a holder of slots for each service (a further hop or lease for each request; placing within a zone has enough upstreams here).

Shown: ManyEntriesSpec in virtual time: greetings of an entry at 1,000 entries at most 1.5 times those at 100; all that take a zone's callers lost at once, others within 2.5 s; a leaving upstream known to 300 entries within 2 s with 2.5% of datagrams lost, a third cut off from the store and two relays lost. On the way the spec failed for three faults of the first form (an entry asleep while it was chosen to follow: 4.5 s; standbys that noticed a lost lead only at their next greeting: 3.0 s; a burst's rate not in the choice), mended here.

NewsOfUpstreamsSpec "go on after an outage" asked every entry what it heard of each other; most no longer hear each other, so each entry is now asked for its own belief, which is what the others were told.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
@@ -62,6 +62,7 @@
     PEER_SEEN(6401, Level.INFO, "another entry was heard", "peer", "address"),
     PEER_SILENT(6402, Level.WARN, "another entry is silent", "peer", "silentMs"),
     PEER_LEAVING(6403, Level.INFO, "another entry is stopping", "peer"),
+    ROLES_CHANGED(6404, Level.INFO, "other entries take the zone's callers now", "zone", "entries", "self"),
     ;
 
     /** Identifier as it is logged, such as `PW-6001`. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/FollowerChoice.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/FollowerChoice.kt
@@ -1,5 +1,6 @@
 package io.poplarwood.gateway.peer
 
+import io.poplarwood.gateway.store.FollowPace
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -7,25 +8,33 @@
  * Which entries follow the store for all: a few that reach it, of different zones where there are several, so that the
  * store's calls do not grow with the number of entries and the loss of one is not noticed.
  *
- * Answers stores that turn some entries away: an entry follows the store itself as soon as nothing that it knows was
- * confirmed lately, whatever others say.
+ * Answers stores that turn some entries away, and outages, in which every entry would ask: an entry for which nothing
+ * was confirmed lately looks for itself, whatever others say, but at a pace that all entries share.
  */
 internal class FollowerChoice(private val self: String, private val zone: String) {
     /**
-     * Whether this entry follows the store.
+     * How this entry follows the store.
      *
+     * @param active whether it takes callers; the others leave the store to those that do
      * @param answers whether the store answers it
      * @param unconfirmed time since its knowledge was known to be the newest
      */
-    fun follows(peers: Collection<PeerRow>, answers: Boolean, unconfirmed: Duration): Boolean {
-        if (unconfirmed > UNCONFIRMED) return true
-        val others = peers.filter { row -> row.hello?.let { it.storeAnswers && !it.stopping } ?: false }
-            .map { Candidate(it.name, it.record.zone) }
-        return if (answers) place(Candidate(self, zone), others) < FOLLOWERS else others.isEmpty()
+    fun pace(peers: Collection<PeerRow>, active: Boolean, answers: Boolean, unconfirmed: Duration): FollowPace {
+        val others = peers.filter { row -> row.active && row.hello?.stopping == false }
+        val answering = others.filter { it.hello?.storeAnswers ?: false }
+        val rivals = if (answers || answering.isNotEmpty()) answering else others
+        val chosen = active && (answers || answering.isEmpty()) && place(rivals) < FOLLOWERS
+        return when {
+            chosen -> FollowPace.QUICK
+            unconfirmed > UNCONFIRMED -> FollowPace.SHARED
+            else -> FollowPace.NONE
+        }
     }
 
-    /** How many of [others] go before [own]: the first of each zone, then the second of each, and so on. */
-    private fun place(own: Candidate, others: List<Candidate>): Int {
+    /** How many of [rivals] go before this entry: the first of each zone, then the second of each, and so on. */
+    private fun place(rivals: List<PeerRow>): Int {
+        val own = Candidate(self, zone)
+        val others = rivals.map { Candidate(it.name, it.record.zone) }
         val all = others + own
         val rankOf = { one: Candidate -> all.count { it.zone == one.zone && it.name < one.name } }
         val order = compareBy<Candidate> { rankOf(it) }.thenBy { it.zone }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/LoadBoard.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/LoadBoard.kt
@@ -12,29 +12,36 @@
 
 /**
  * What entries tell each other of the load of upstreams: how many requests each has where, and how slow upstreams are.
+ * Entries of the same zone, which share their zone's upstreams first, are told sooner than those of other zones.
  *
- * @param wake called when there is something to send and nothing was before
+ * @param wakeNear called when there is something to send within the zone and nothing was before
+ * @param wakeFar the same for other zones
  * @param crash sends news of a lost upstream at once
  */
 internal class LoadBoard(
     private val upstreams: UpstreamTable,
     private val ticker: Ticker,
-    private val wake: () -> Unit,
+    wakeNear: () -> Unit,
+    wakeFar: () -> Unit,
     private val crash: (fingerprint: Long, upstream: String) -> Unit,
 ) {
-    private val pending = LinkedHashMap<String, Int>()
+    private val near = LoadBatch(upstreams, wakeNear)
+    private val far = LoadBatch(upstreams, wakeFar)
     private val requests = SlidingCount(RATE_SPAN)
+    private val latest = SlidingCount(LATEST_SPAN)
 
     /** Notes that a request arrived here. */
-    fun served() = requests.add(ticker.now())
+    fun served() {
+        requests.add(ticker.now())
+        latest.add(ticker.now())
+    }
 
-    /** Requests that arrived here each second, at least 1 when there was any lately. */
-    fun requestsPerS(now: Duration): Int = ceil(requests.sum(now) / RATE_SPAN.toDouble(DurationUnit.SECONDS)).toInt()
+    /** Requests that arrived here each second, at least 1 when there was any lately; a rise shows within a second. */
+    fun requestsPerS(now: Duration): Int =
+        maxOf(ceil(requests.sum(now) / RATE_SPAN.toDouble(DurationUnit.SECONDS)).toInt(), latest.sum(now))
 
     /** Notes that the number of own requests at [row] changed. */
-    fun changed(row: UpstreamRow) {
-        note(row, 0)
-    }
+    fun changed(row: UpstreamRow) = note(row, 0)
 
     /** Notes what [row] told of its slowness. */
     fun slowness(row: UpstreamRow, value: Double, now: Duration) {
@@ -45,12 +52,11 @@
     /** Notes that [upstream] was lost while it ran a request with [fingerprint]. */
     fun crashed(fingerprint: Long, upstream: String) = crash(fingerprint, upstream)
 
-    /** News since the last call. */
-    fun take(): List<UpstreamLoad> {
-        val news = pending.map { (id, slowness) -> UpstreamLoad(id, upstreams[id]?.ownInFlight ?: 0, slowness) }
-        pending.clear()
-        return news
-    }
+    /** News for entries of the own zone since the last call. */
+    fun takeNear(): List<UpstreamLoad> = near.take()
+
+    /** News for entries of other zones since the last call. */
+    fun takeFar(): List<UpstreamLoad> = far.take()
 
     /** All own requests at upstreams. */
     fun whole(): List<UpstreamLoad> =
@@ -69,14 +75,13 @@
     }
 
     private fun note(row: UpstreamRow, slowness: Int) {
-        val first = pending.isEmpty()
-        val known = pending[row.id] ?: 0
-        pending[row.id] = if (slowness > 0) slowness else known
-        if (first) wake()
+        near.note(row.id, slowness)
+        far.note(row.id, slowness)
     }
 
     private companion object {
         val RATE_SPAN = 4.seconds
+        val LATEST_SPAN = 1.seconds
         const val PERCENT = 100.0
     }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
@@ -8,8 +8,13 @@
 internal sealed interface PeerMessage {
     val from: String
 
+    companion object {
+        /** Time between two hellos of entries that take requests, in milliseconds. */
+        const val FIRST_EVERY_MS = 400
+    }
+
     /**
-     * Sent a few times a second.
+     * Sent again and again; how often depends on how much sender and receiver have to do with each other.
      *
      * @property callers `ip:port` for callers
      * @property peers `ip:port` for other entries
@@ -22,7 +27,11 @@
      * @property confirmedMs time since these were known to be the newest, in milliseconds
      * @property upMs time since it started, in milliseconds
      * @property requestsPerS requests that it took in the last seconds
-     * @property load requests that it has at upstreams
+     * @property capacity requests a second that its VM can carry
+     * @property active it takes callers of its zone
+     * @property zoneActive names of all entries that take callers of its zone, the lead first
+     * @property everyMs time to its next hello to the receiver, in milliseconds
+     * @property load requests that it has at upstreams; null where the receiver takes no requests
      */
     @Serializable
     @SerialName("h")
@@ -40,7 +49,11 @@
         @SerialName("cm") val confirmedMs: Long,
         @SerialName("um") val upMs: Long,
         @SerialName("q") val requestsPerS: Int,
-        @SerialName("l") val load: List<UpstreamLoad>,
+        @SerialName("y") val capacity: Int = PeerRecord.DEFAULT_CAPACITY,
+        @SerialName("a") val active: Boolean = true,
+        @SerialName("za") val zoneActive: List<String> = emptyList(),
+        @SerialName("i") val everyMs: Int = FIRST_EVERY_MS,
+        @SerialName("l") val load: List<UpstreamLoad>? = null,
     ) : PeerMessage
 
     /** What changed at upstreams since the last news. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerRow.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerRow.kt
@@ -1,6 +1,8 @@
 package io.poplarwood.gateway.peer
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Another entry as this one knows it. Times are readings of this entry's ticker. */
 internal class PeerRow(val name: String, var record: PeerRecord) {
@@ -9,6 +11,28 @@
     var heardAt: Duration = -Duration.INFINITE
     var silent = true
 
+    /** When it last told that it takes requests. */
+    var busyAt: Duration = -Duration.INFINITE
+
     /** Whether callers can be sent there. */
     val serving: Boolean get() = !silent && hello?.let { it.serving && !it.stopping } ?: false
+
+    /** Whether it takes callers of its zone, or still has requests of them. */
+    val active: Boolean get() = !silent && hello?.let { it.active || it.requestsPerS > 0 } ?: false
+
+    /** Time without a word after which it counts as silent: several hellos may be lost in a row on a bad path. */
+    val patience: Duration get() = (hello?.everyMs?.milliseconds ?: FIRST_PERIOD) * MISSED
+
+    /** How the choice of active entries sees it. */
+    fun standing(): Standing {
+        val warm = (hello?.upMs ?: 0).milliseconds >= WARM
+        return Standing(name, record.callers, warm, record.capacity, hello?.requestsPerS ?: 0)
+    }
+
+    companion object {
+        /** An entry that has run for this long has its code compiled and knows the upstreams. */
+        val WARM = 5.seconds
+        private val FIRST_PERIOD = 400.milliseconds
+        private const val MISSED = 3.25
+    }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerState.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerState.kt
@@ -3,15 +3,17 @@
 import kotlinx.serialization.Serializable
 
 /**
- * All that an entry knows of the store, for a peer that does not.
+ * What an entry knows of the store and a peer that asks does not.
  *
+ * @property state the desired state; null when the peer knows it
+ * @property upstreams all registrations; null when the peer knows them
  * @property upstreamVersion store version of the newest change of a registration that it knows
  * @property coveredVersion store version up to which it knows every registration
  */
 @Serializable
 internal class PeerState(
     val state: PeerStateRow?,
-    val upstreams: List<PeerStateRow>,
+    val upstreams: List<PeerStateRow>?,
     val upstreamVersion: Long,
     val coveredVersion: Long,
 )
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerTable.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerTable.kt
@@ -1,7 +1,6 @@
 package io.poplarwood.gateway.peer
 
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -29,28 +28,41 @@
     /** Takes over a hello; true when the peer was silent or unknown before. */
     fun heard(hello: PeerMessage.Hello, now: Duration): Boolean {
         if (hello.from == self) return false
-        val record = PeerRecord(hello.zone, hello.callers, hello.peers)
+        val record = PeerRecord(hello.zone, hello.callers, hello.peers, hello.capacity)
         val row = rows.getOrPut(hello.from) { PeerRow(hello.from, record) }
         row.record = record
         row.hello = hello
         row.heardAt = now
+        if (hello.requestsPerS > 0) row.busyAt = now
         return row.silent.also { row.silent = false }
     }
 
     /** Peers that have just become silent. */
     fun silence(now: Duration): List<PeerRow> {
         rows.values.removeIf { it.silent && now - it.heardAt > FORGOTTEN }
-        val lost = rows.values.filter { !it.silent && now - it.heardAt > SILENT }
+        val lost = rows.values.filter { !it.silent && now - it.heardAt > it.patience }
         lost.forEach { it.silent = true }
         return lost
     }
 
-    /** Entries that may share a budget now, this one included: those heard, or known and not yet forgotten. */
-    fun sharing(now: Duration): Int = 1 + rows.values.count { now - it.heardAt < SHARES }
+    /** Live peers of [zone]. */
+    fun liveOf(zone: String): List<PeerRow> = rows.values.filter { !it.silent && it.record.zone == zone }
+
+    /** Zones that have peers. */
+    fun zones(): Set<String> = rows.values.mapTo(HashSet()) { it.record.zone }
+
+    /** Live peers that take requests. */
+    val active: List<PeerRow> get() = rows.values.filter { it.active }
+
+    /**
+     * Entries that share a budget now, this one included: those that take requests or took some within its window. An
+     * entry that has not been heard yet is presumed to share it.
+     */
+    fun sharing(now: Duration): Int = 1 + rows.values.count {
+        it.active || now - it.busyAt < SHARES || (it.hello == null && now - it.heardAt < SHARES)
+    }
 
     private companion object {
-        /** Several hellos may be lost in a row on a bad path. */
-        val SILENT = 1_300.milliseconds
         val FORGOTTEN = 60.seconds
 
         /** The window of shared budgets and a margin. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/Peers.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/Peers.kt
@@ -5,12 +5,14 @@
 import io.poplarwood.gateway.decision.CrashSuspects
 import io.poplarwood.gateway.log.EventLog
 import io.poplarwood.gateway.log.GatewayEvent
+import io.poplarwood.gateway.store.FollowPace
 import io.poplarwood.gateway.store.Rows
 import io.poplarwood.gateway.store.StateBook
 import io.poplarwood.gateway.store.Topic
 import io.poplarwood.gateway.store.WatchDuty
 import io.poplarwood.gateway.upstream.UpstreamTable
 import java.util.EnumSet
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -23,6 +25,7 @@
     private val self: String,
     private val record: PeerRecord,
     private val table: PeerTable,
+    private val roles: ActiveSet,
     private val upstreams: UpstreamTable,
     private val book: StateBook,
     private val crashes: CrashSuspects,
@@ -31,6 +34,7 @@
     private val pump: () -> Unit,
 ) : WatchDuty {
     private val began = ticker.now()
+    private val audience = GreetingPlan(record.zone, table, roles)
 
     /** Whether this entry takes requests, as peers are told. */
     var serving: Boolean = false
@@ -38,44 +42,78 @@
     /** Whether this entry has begun a planned stop. */
     var stopping: Boolean = false
 
+    /** Whether the store answered this entry's last calls. */
+    val storeAnswers: Boolean get() = unanswered.isEmpty()
+
     private val unanswered = EnumSet.noneOf(Topic::class.java)
     private val choice = FollowerChoice(self, record.zone)
+    private var greetedAt = -Duration.INFINITE
+
+    /** Whether there is something to tell before the next greeting is due. */
+    private var urgent = false
 
     /** Requests of this entry at upstreams. */
     lateinit var loads: LoadBoard
 
-    /** Greets every known peer; finds those that have become silent. */
-    fun hello() {
-        val now = ticker.now()
+    override val entries: Int get() = table.all.size + 1
+
+    /** Greets other entries when that is due; finds those that have become silent. */
+    fun tick() {
+        findSilent(ticker.now())
+        refreshRoles()
+        val period = if (audience.wide) GreetingPlan.ACTIVE else GreetingPlan.STANDBY
+        if (urgent || ticker.now() - greetedAt >= period) hello()
+    }
+
+    private fun findSilent(now: Duration) {
         for (row in table.silence(now)) {
             log.log(GatewayEvent.PEER_SILENT, row.name, (now - row.heardAt).inWholeMilliseconds)
             upstreams.forget(EntryId(row.name))
         }
-        val confirmed = (now - book.confirmedAt).inWholeMilliseconds
-        val hello = PeerMessage.Hello(
-            from = self,
-            zone = record.zone,
-            callers = record.callers,
-            peers = record.peers,
-            serving = serving,
-            stopping = stopping,
-            storeAnswers = unanswered.isEmpty(),
-            stateVersion = book.stateVersion,
-            upstreamVersion = book.upstreamVersion,
-            coveredVersion = book.coveredVersion,
-            confirmedMs = confirmed,
-            upMs = (now - began).inWholeMilliseconds,
-            requestsPerS = loads.requestsPerS(now),
-            load = loads.whole(),
-        )
-        send(hello, table.all.map { it.record.peers })
     }
 
-    /** Sends what changed at upstreams to the peers that serve requests. */
-    fun sendLoads() {
-        val news = loads.take()
+    private fun refreshRoles() {
+        if (!roles.refresh()) return
+        urgent = true
+        log.log(GatewayEvent.ROLES_CHANGED, record.zone, roles.chosen.joinToString(" "), roles.active)
+    }
+
+    /** Greets other entries now. */
+    fun hello() {
+        val now = ticker.now()
+        greetedAt = now
+        urgent = false
+        for (greeting in audience.next()) {
+            val load = if (greeting.withLoad) loads.whole() else null
+            send(greetingOf(now, greeting.every, load), greeting.to)
+        }
+    }
+
+    private fun greetingOf(now: Duration, every: Duration, load: List<UpstreamLoad>?) = PeerMessage.Hello(
+        from = self,
+        zone = record.zone,
+        callers = record.callers,
+        peers = record.peers,
+        serving = serving,
+        stopping = stopping,
+        storeAnswers = storeAnswers,
+        stateVersion = book.stateVersion,
+        upstreamVersion = book.upstreamVersion,
+        coveredVersion = book.coveredVersion,
+        confirmedMs = (now - book.confirmedAt).inWholeMilliseconds,
+        upMs = (now - began).inWholeMilliseconds,
+        requestsPerS = roles.requestsPerS,
+        capacity = record.capacity,
+        active = roles.active,
+        zoneActive = if (roles.active) roles.chosen else emptyList(),
+        everyMs = every.inWholeMilliseconds.toInt(),
+        load = load,
+    )
+
+    /** Sends [news] of upstreams to the peers of the own zone that take requests, or to those of other zones. */
+    fun sendLoads(news: List<UpstreamLoad>, near: Boolean) {
         if (news.isEmpty()) return
-        val taking = table.live.filter { (it.hello?.requestsPerS ?: 0) > 0 }
+        val taking = table.active.filter { (it.record.zone == record.zone) == near }
         send(PeerMessage.LoadNews(self, news), taking.map { it.record.peers })
     }
 
@@ -85,24 +123,22 @@
         send(PeerMessage.CrashNews(self, fingerprint, upstream), table.live.map { it.record.peers })
     }
 
-    override fun follows(): Boolean =
-        !stopping && choice.follows(table.live, unanswered.isEmpty(), ticker.now() - book.confirmedAt)
+    override fun pace(): FollowPace {
+        if (stopping) return FollowPace.NONE
+        return choice.pace(table.live, roles.active, storeAnswers, ticker.now() - book.confirmedAt)
+    }
 
     override fun answers(topic: Topic, answers: Boolean) {
         val changed = if (answers) unanswered.remove(topic) else unanswered.add(topic)
-        if (changed) hello()
+        if (changed) urgent = true
     }
 
     override fun known(topic: Topic): Long = if (topic == Topic.UPSTREAMS) book.coveredVersion else book.stateVersion
 
     override fun changed(topic: Topic, rows: Rows, after: Long) {
-        if (topic == Topic.UPSTREAMS) {
-            val news = rows.rows.map(PeerStateRow::of)
-            if (news.sumOf { it.value?.size ?: 0 } > MAX_NEWS_BYTES) return hello()
-            send(PeerMessage.UpstreamNews(self, after, news), table.live.map { it.record.peers })
-        } else {
-            hello()
-        }
+        val news = rows.rows.map(PeerStateRow::of)
+        if (topic != Topic.UPSTREAMS || news.sumOf { it.value?.size ?: 0 } > MAX_NEWS_BYTES) return hello()
+        send(PeerMessage.UpstreamNews(self, after, news), table.live.map { it.record.peers })
     }
 
     /** Takes in what another entry sent. */
@@ -110,11 +146,7 @@
         when (message) {
             is PeerMessage.Hello -> heard(message)
             is PeerMessage.LoadNews -> loads.receive(message.from, message.load, whole = false)
-            is PeerMessage.UpstreamNews -> {
-                val rows = message.rows.map { it.toStored() }
-                val version = rows.maxOfOrNull { it.version } ?: return
-                book.takeChangedUpstreams(Rows(rows, version), message.after, message.from)
-            }
+            is PeerMessage.UpstreamNews -> upstreamsChanged(message)
             is PeerMessage.CrashNews -> crashes.lost(message.fingerprint, message.upstream, ticker.now())
         }
         if (message !is PeerMessage.CrashNews) pump()
@@ -122,13 +154,39 @@
 
     private fun heard(hello: PeerMessage.Hello) {
         val now = ticker.now()
-        val left = table[hello.from]?.hello?.stopping ?: false
-        if (table.heard(hello, now)) log.log(GatewayEvent.PEER_SEEN, hello.from, hello.callers)
+        val before = table[hello.from]
+        val left = before?.hello?.stopping ?: false
+        val wasActive = before?.active ?: false
+        val fresh = table.heard(hello, now)
+        if (fresh) log.log(GatewayEvent.PEER_SEEN, hello.from, hello.callers)
         if (hello.stopping && !left) log.log(GatewayEvent.PEER_LEAVING, hello.from)
-        loads.receive(hello.from, hello.load, whole = true)
+        hello.load?.let { loads.receive(hello.from, it, whole = true) }
         if (hello.upstreamVersion <= book.coveredVersion) book.coverTo(hello.coveredVersion)
         val asFresh = hello.upstreamVersion <= book.upstreamVersion && hello.stateVersion <= book.stateVersion
         if (asFresh) book.confirm(now - hello.confirmedMs.milliseconds - ON_THE_WAY)
+        if (hello.active && !wasActive) tookOver(hello)
+        // An entry that has just started learns at once of this one, and what there is to know.
+        if (fresh && roles.active) send(greetingOf(now, GreetingPlan.ACTIVE, null), listOf(hello.peers))
+    }
+
+    /** An entry takes callers that did not before: its zone greets it, and those that do so elsewhere hear of it. */
+    private fun tookOver(hello: PeerMessage.Hello) {
+        if (hello.zone == record.zone) {
+            urgent = true
+        } else if (!roles.active) {
+            send(hello, roles.leads.map { it.record.peers })
+        }
+    }
+
+    private fun upstreamsChanged(news: PeerMessage.UpstreamNews) {
+        val rows = news.rows.map { it.toStored() }
+        val version = rows.maxOfOrNull { it.version } ?: return
+        val known = book.upstreamVersion
+        book.takeChangedUpstreams(Rows(rows, version), news.after, news.from)
+        val fromElsewhere = table[news.from]?.record?.zone != record.zone
+        if (version <= known || !fromElsewhere || !roles.isLead) return
+        val zone = table.liveOf(record.zone).map { it.record.peers }
+        send(PeerMessage.UpstreamNews(self, news.after, news.rows), zone)
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/EntryAnswers.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/EntryAnswers.kt
@@ -21,7 +21,7 @@
     /** Answer to a caller that asks for entries. */
     fun entries(target: String): InternalReply {
         val question = endpoints.directoryQuestion(target) ?: return empty(NOT_FOUND)
-        val entries = directory.entriesFor(question.zone, own())
+        val entries = directory.entriesFor(question.zone)
         if (entries.isEmpty()) return empty(UNAVAILABLE)
         return InternalReply(OK, "application/json", endpoints.directoryAnswer(entries, directory.lifetime))
     }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -21,6 +21,7 @@
 import io.poplarwood.gateway.log.EventLog
 import io.poplarwood.gateway.log.GatewayEvent
 import io.poplarwood.gateway.metrics.GatewayMetrics
+import io.poplarwood.gateway.peer.ActiveSet
 import io.poplarwood.gateway.peer.LoadBoard
 import io.poplarwood.gateway.peer.PeerRecord
 import io.poplarwood.gateway.peer.PeerSocket
@@ -42,6 +43,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
+import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -86,17 +88,25 @@
     private val book: StateBook = StateBook(adapter.codec, upstreams, ticker, log, ::stateChanged) {
         links.closeIdle(it.record.address)
     }
-    private val record = PeerRecord(settings.zone, settings.listen.callers, settings.listen.peers)
+    private val record =
+        PeerRecord(settings.zone, settings.listen.callers, settings.listen.peers, EntryCapacity.of(settings.limits))
+    private val roles = ActiveSet(settings.entry, record, peerTable, ::ownEntry)
     private val socket = PeerSocket(group, record.peers, { peers.receive(it) }, unreadable = {})
     private val peers: Peers =
-        Peers(socket::send, settings.entry, record, peerTable, upstreams, book, decisions.crashes, ticker, log) {
+        Peers(socket::send, settings.entry, record, peerTable, roles, upstreams, book, decisions.crashes, ticker, log) {
             pump()
         }
-    private val loads = LoadBoard(upstreams, ticker, ::loadsChanged, peers::sendCrash).also { peers.loads = it }
+    private val loads: LoadBoard = LoadBoard(
+        upstreams,
+        ticker,
+        { after(NEAR_NEWS) { peers.sendLoads(loads.takeNear(), near = true) } },
+        { after(FAR_NEWS) { peers.sendLoads(loads.takeFar(), near = false) } },
+        peers::sendCrash,
+    ).also { peers.loads = it }
     private val prober = LoadProber(
         upstreams,
         ProbeChoice { bounds.probesPerS },
-        ProbeDuty(settings.entry, Zone(settings.zone), peerTable) { serving },
+        ProbeDuty(settings.entry, Zone(settings.zone), peerTable, roles),
         book,
         loads,
         caller,
@@ -110,13 +120,7 @@
     private val requestLog = RequestLog(log, metrics, ticker)
     private val flow = RequestFlow(book, decisions, links, loads, ticker, metrics, lessons, requestLog, log)
     private val directory =
-        Directory(
-            settings.entry,
-            settings.zone,
-            settings.listen.callers,
-            peerTable,
-            settings.bounds.directoryLifetimeS.seconds,
-        )
+        Directory(settings.zone, peerTable::zones, roles, settings.bounds.directoryLifetimeS.seconds)
     private val listener = CallerListener(
         group,
         settings.listen.callers,
@@ -141,12 +145,12 @@
         listener.start()
         InternalListener(group, settings.listen.readiness, answers::readiness).start()
         InternalListener(group, settings.listen.directory, answers::entries).start()
-        InternalListener(group, settings.listen.peers) { InternalReply(OK, CBOR, sync.answer()) }.start()
+        InternalListener(group, settings.listen.peers, ::knowledge).start()
         InternalListener(group, settings.listen.metrics) { InternalReply(OK, "text/plain", metrics.text()) }.start()
         socket.start()
-        keep("greetings") { greet() }
+        keep("greetings") { every(GREETINGS) { peers.tick() } }
         keep("sync") { every(SYNC) { sync.tick() } }
-        keep("probes") { every(PROBES) { prober.tick(scope) } }
+        keep("probes") { probe() }
         keep("tick") { every(TICK) { tick() } }
         val started = sinceStart().inWholeMilliseconds
         log.log(GatewayEvent.STARTED, settings.entry, settings.zone, settings.listen.callers, started)
@@ -192,7 +196,7 @@
     /** Closes everything at once; the addresses are free when it returns. */
     fun close() {
         scope.cancel()
-        group.shutdownGracefully(0, 0, java.util.concurrent.TimeUnit.MILLISECONDS).awaitUninterruptibly(CLOSE_LIMIT_MS)
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly(CLOSE_LIMIT_MS)
     }
 
     private suspend fun follow(topic: Topic) {
@@ -203,10 +207,17 @@
 
     private fun ownEntry() = ticker.now().let { OwnEntry(serving, it - began, loads.requestsPerS(it)) }
 
-    private suspend fun askPeer(peer: String): ByteArray? =
-        caller.call(peer, "GET", PEER_STATE, null, PEER_LIMIT)?.takeIf { it.status == OK }?.body
+    private suspend fun askPeer(peer: String, question: String): ByteArray? =
+        caller.call(peer, "GET", PEER_STATE + question, null, PEER_LIMIT)?.takeIf { it.status == OK }?.body
 
-    private suspend fun greet() = every(HELLO) { peers.hello() }
+    private fun knowledge(target: String) = InternalReply(OK, CBOR, sync.answer(target.removePrefix(PEER_STATE)))
+
+    private suspend fun probe() {
+        while (true) {
+            if (roles.active) prober.tick(scope)
+            delay(if (roles.active) PROBES else TICK)
+        }
+    }
 
     private fun tick() {
         book.tick()
@@ -218,8 +229,8 @@
         return decisions.waiting
     }
 
-    private fun loadsChanged() {
-        loop.schedule({ peers.sendLoads() }, LOAD_NEWS.inWholeMilliseconds, java.util.concurrent.TimeUnit.MILLISECONDS)
+    private fun after(pause: Duration, work: () -> Unit) {
+        loop.schedule(work, pause.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
     private fun stateChanged() {
@@ -260,19 +271,22 @@
         const val CBOR = "application/cbor"
 
         /** Path of the peers' listener that answers with all that the entry knows of the store. */
-        const val PEER_STATE = "/state"
+        const val PEER_STATE = "/state/"
         val PEER_LIMIT = 500.milliseconds
 
         /** Bytes of request bodies held at once, for each megabyte of the VM. */
         const val BODY_SHARE_BYTES = 160L * 1024
-        val HELLO = 400.milliseconds
+
+        /** How often a look is taken whether a greeting is due. */
+        val GREETINGS = 100.milliseconds
         val SYNC = 100.milliseconds
 
         val PROBES = 20.milliseconds
         val TICK = 200.milliseconds
 
-        /** News of load are gathered for this long, since every entry has to read each of them. */
-        val LOAD_NEWS = 3.milliseconds
+        /** News of load are gathered for this long, since every entry that takes requests has to read each of them. */
+        val NEAR_NEWS = 3.milliseconds
+        val FAR_NEWS = 20.milliseconds
         val RESTART = 200.milliseconds
         const val CLOSE_LIMIT_MS = 2_000L
         val STOP_STEP = 20.milliseconds
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/settings/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/settings/GatewaySettings.kt
@@ -52,9 +52,24 @@
     val rowBytes: Int,
 )
 
-/** @property memoryMb memory of the VM, beyond which the process is ended */
+/**
+ * @property memoryMb memory of the VM, beyond which the process is ended
+ * @property processorShare share of a core that the process gets
+ * @property processorSpeed how many times as fast as a usual core that core is
+ * @property linkMbps bandwidth of the VM's link, in megabits a second
+ */
 @Serializable
-data class ProcessLimits(val memoryMb: Int, val maxDescriptors: Int)
+data class ProcessLimits(
+    val memoryMb: Int,
+    val maxDescriptors: Int,
+    val processorShare: Double = 1.0,
+    val processorSpeed: Double = 1.0,
+    val linkMbps: Double = DEFAULT_LINK_MBPS,
+) {
+    private companion object {
+        const val DEFAULT_LINK_MBPS = 1_000.0
+    }
+}
 
 /**
  * Times in seconds.
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/settings/GatewaySettingsReader.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/settings/GatewaySettingsReader.kt
@@ -61,6 +61,13 @@
             "bounds.directoryLifetimeS" to bounds.directoryLifetimeS,
         )
         for ((path, value) in times) if (value <= 0) add("$path is $value, expected more than 0")
+        val limits = settings.limits
+        val sizes = mapOf(
+            "limits.processorShare" to limits.processorShare,
+            "limits.processorSpeed" to limits.processorSpeed,
+            "limits.linkMbps" to limits.linkMbps,
+        )
+        for ((path, value) in sizes) if (value <= 0) add("$path is $value, expected more than 0")
         if (bounds.repeatRatio < 0) add("bounds.repeatRatio is ${bounds.repeatRatio}, expected 0 or more")
     }
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateWatcher.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateWatcher.kt
@@ -43,10 +43,7 @@
     /** Follows changes; does not return. */
     suspend fun follow() {
         while (true) {
-            if (!duty.follows() && lostAt == null) {
-                delay(DUTY_CHECK)
-                continue
-            }
+            if (!onDuty()) continue
             version = maxOf(version, duty.known(topic))
             val wait = if (lostAt == null) WAIT else Duration.ZERO
             val result = store.changes(topic, version, wait, wait + margin)
@@ -64,6 +61,20 @@
         }
     }
 
+    /** Waits a little, or for this entry's turn, where others follow the store; true when this one is to ask it now. */
+    private suspend fun onDuty(): Boolean {
+        if (lostAt != null) return true
+        when (duty.pace()) {
+            FollowPace.QUICK -> return true
+            FollowPace.NONE -> delay(DUTY_CHECK)
+            FollowPace.SHARED -> {
+                waitTurn(SHARED_PAUSE * (duty.entries * random.nextDouble()))
+                return duty.pace() != FollowPace.NONE
+            }
+        }
+        return false
+    }
+
     private fun take(rows: Rows, whole: Boolean) {
         val before = if (topic == Topic.UPSTREAMS) book.upstreamVersion else version
         when (topic) {
@@ -101,11 +112,23 @@
     }
 
     private suspend fun backOff() {
-        val next = if (duty.follows()) pause else OFF_DUTY_PAUSE
-        delay(next * (HALF + random.nextDouble()))
+        val jitter = HALF + random.nextDouble()
+        when (duty.pace()) {
+            FollowPace.QUICK -> delay(pause * jitter)
+            FollowPace.SHARED -> waitTurn(maxOf(pause, SHARED_PAUSE * duty.entries) * jitter)
+            FollowPace.NONE -> waitTurn(maxOf(OFF_DUTY_PAUSE, SHARED_PAUSE * duty.entries) * jitter)
+        }
         pause = minOf(pause * 2, LONGEST_PAUSE)
     }
 
+    /** Waits for [longest], or until this entry is to follow the store for all. */
+    private suspend fun waitTurn(longest: Duration) {
+        val until = ticker.now() + longest
+        while (ticker.now() < until && duty.pace() != FollowPace.QUICK) {
+            delay(minOf(DUTY_CHECK, until - ticker.now()))
+        }
+    }
+
     private companion object {
         /** Time that a call waits for a change. A connection that went silent is found when it is over. */
         val WAIT = 800.milliseconds
@@ -113,13 +136,16 @@
         /** What an answer may take beside the time that the store waits; grows while the store is slow. */
         val MARGIN = 400.milliseconds
         val LONGEST_MARGIN = 1_600.milliseconds
-        val DUTY_CHECK = 50.milliseconds
+        val DUTY_CHECK = 100.milliseconds
 
         /** Changes come in groups; those that follow shortly are fetched by one call. */
         val GATHER = 150.milliseconds
         val FIRST_PAUSE = 50.milliseconds
         val LONGEST_PAUSE = 500.milliseconds
 
+        /** Pause of each entry, for each entry there is, between its looks for a store that nobody has told of. */
+        val SHARED_PAUSE = 60.milliseconds
+
         /** Between looks whether the store answers again, while others follow it. */
         val OFF_DUTY_PAUSE = 2.seconds
         val AFTER_OUTAGE = 4.seconds
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/WatchDuty.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/WatchDuty.kt
@@ -2,8 +2,11 @@
 
 /** Shares the following of the store among entries, so that its calls do not grow with their number. */
 internal interface WatchDuty {
-    /** Whether this entry follows the store now. */
-    fun follows(): Boolean
+    /** How this entry follows the store now. */
+    fun pace(): FollowPace
+
+    /** Number of entries that may look for the store at a shared pace. */
+    val entries: Int
 
     /** Notes whether the store answered the last call about [topic]. */
     fun answers(topic: Topic, answers: Boolean)
