Run repeatable requests of one connection side by side; bound bytes that upstreams send without end

Cause, by PipeliningSpec on the code before: six requests of 200 ms sent at once took 1.24 s, one after the other; in a planned stop the requests that had been taken behind the first were dropped when its answer closed the connection (the caller met the end of the stream). By EndlessBytesSpec: late answers without end held a request to its route's timeout; and a body without end filled memory up to 32 MB for each request, more than the heap for five of them.

Change: ExchangeQueue begins up to eight requests that may be repeated beside each other, one that must run once only after all before it were answered; answers leave in order; a stop answers all that have begun and closes behind the last; what waits behind a closing answer is dropped unread. Answers that are not complete share a bound of memory, late and interim bytes on one connection end it after 1 MB, a probe's answer may be 16 KB.

Ruled out: waiting with the end of the connection until unread requests were served too; callers take them for unread.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/BodyMemory.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/BodyMemory.kt
@@ -1,6 +1,6 @@
 package io.poplarwood.gateway.http
 
-/** Bounds the bytes of request bodies that are held at once. */
+/** Bounds the bytes of bodies that are held at once. */
 internal class BodyMemory(private val limit: Long) {
     private var held = 0L
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/CallerConnection.kt
@@ -5,29 +5,24 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.socket.SocketChannel
-import io.netty.handler.codec.http.DefaultFullHttpResponse
-import io.netty.handler.codec.http.FullHttpResponse
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
-import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
-import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import io.poplarwood.api.time.Ticker
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.DurationUnit
 
 /**
- * One connection of a caller. Requests on it are answered one after the other, in their order.
+ * One connection of a caller. Requests that may be repeated are run side by side when a caller does not wait for
+ * answers; any other begins once those before it are answered. Answers leave in the order of the requests.
  *
  * A request is taken whole before anything decides about it, so that an upload that is cut never reaches an upstream
  * and holds no slot while it arrives.
@@ -38,14 +33,13 @@
     private val ticker: Ticker,
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
-    private val pending = ArrayDeque<PendingRequest>()
+    private val requests = ExchangeQueue { listener.mayRepeat(it.host, it.target) }
     private var arriving: PendingRequest? = null
-    private var running: Job? = null
     private var closing = false
     private var idleSince = ticker.now()
 
     /** Whether a request is being answered or has begun to arrive. */
-    val busy: Boolean get() = running != null || arriving != null || pending.isNotEmpty()
+    val busy: Boolean get() = arriving != null || !requests.isEmpty
 
     /** Time since the last answer, or since the connection was opened. */
     val idleFor: Duration get() = ticker.now() - idleSince
@@ -58,8 +52,9 @@
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
         listener.closed(this)
-        running?.cancel()
-        dropBodies()
+        closing = true
+        dropWaiting()
+        requests.cancelBegun()
     }
 
     override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
@@ -83,20 +78,20 @@
     private fun take(msg: HttpObject) {
         if (msg.decoderResult().isFailure) return refuse(Framing.statusOf(msg.decoderResult().cause()))
         if (msg is HttpRequest) {
-            val fault = begin(msg)
+            val fault = accept(msg)
             if (fault != null) return refuse(fault)
         }
         if (msg is HttpContent) collect(msg)
     }
 
     /** Status of the refusal when the head of [request] is not acceptable. */
-    private fun begin(request: HttpRequest): Int? {
+    private fun accept(request: HttpRequest): Int? {
         Framing.faultOf(request)?.let { return it }
         val length = HttpUtil.getContentLength(request, 0L)
         if (length > listener.limits.maxBodyBytes) return TOO_LARGE
         if (!listener.bodies.take(length)) return UNAVAILABLE
         arriving = PendingRequest(request, length, ticker.now())
-        if (HttpUtil.is100ContinueExpected(request)) context.writeAndFlush(goOn())
+        if (HttpUtil.is100ContinueExpected(request)) context.writeAndFlush(AnswerEncoding.goOn())
         return null
     }
 
@@ -112,75 +107,69 @@
         request.body.add(content.content())
         if (content !is LastHttpContent) return
         arriving = null
-        pending.addLast(request)
-        if (pending.size > MAX_PIPELINED) context.channel().config().isAutoRead = false
-        if (running == null) next()
-    }
-
-    private fun next() {
-        val request = pending.removeFirstOrNull() ?: return
-        running = scope.launch {
-            try {
-                val answer = listener.serve(request.toCall(listener.names, callerOf(context)))
-                write(request, answer)
-            } finally {
-                listener.bodies.release(request.reserved)
-                request.reserved = 0
-                running = null
-                idleSince = ticker.now()
-            }
-            if (!closing) {
-                if (pending.size <= MAX_PIPELINED) context.channel().config().isAutoRead = true
-                next()
-            }
+        requests.add(request)
+        beginWaiting()
+        readMore()
+    }
+
+    /** Begins the requests that may run now; while the entry stops, none beside another. */
+    private fun beginWaiting() {
+        while (!closing) {
+            val exchange = requests.begin(alone = listener.closesAfterAnswer) ?: return
+            exchange.job = scope.launch { run(exchange) }
         }
     }
 
-    private fun write(request: PendingRequest, answer: Answer) {
-        val last = answer.close || !request.keepAlive || listener.closesAfterAnswer
-        val response = encode(answer)
-        if (last) {
-            closing = true
-            response.headers().set(HttpHeaderNames.CONNECTION, "close")
+    private suspend fun run(exchange: PipelinedExchange) {
+        val request = checkNotNull(exchange.request)
+        try {
+            exchange.answer = listener.serve(request.toCall(listener.names, callerOf(context)))
+        } finally {
+            listener.bodies.release(request.reserved)
+            request.reserved = 0
         }
-        val isHead = request.method == "HEAD"
-        if (isHead) response.content().clear()
+        deliver()
+        beginWaiting()
+        readMore()
+    }
+
+    /** Sends the answers whose turn it is. */
+    private fun deliver() {
+        while (context.channel().isActive) {
+            val first = requests.takeAnswered() ?: return
+            idleSince = ticker.now()
+            if (write(first.request, checkNotNull(first.answer))) return end()
+        }
+    }
+
+    /** Sends [answer]; true when it is the last one of this connection. */
+    private fun write(request: PendingRequest?, answer: Answer): Boolean {
+        // Requests that have begun behind this one are answered too, also when the entry stops.
+        val last = request?.keepAlive != true || (requests.idle && (answer.close || listener.closesAfterAnswer))
+        val response = AnswerEncoding.of(answer)
+        if (last) response.headers().set(HttpHeaderNames.CONNECTION, "close")
+        if (request?.method == "HEAD") response.content().clear()
         context.writeAndFlush(response)
-        if (last) lingerClose()
+        return last
     }
 
-    private fun refuse(status: Int) {
+    private fun end() {
         closing = true
-        dropBodies()
-        val retry = if (status == UNAVAILABLE) RETRY_LATER else null
-        val response = encode(Answer(status, null, "{\"status\":$status}".encodeToByteArray(), retry))
-        response.headers().set(HttpHeaderNames.CONNECTION, "close")
-        val before = running
-        if (before == null) {
-            context.writeAndFlush(response)
-            lingerClose()
-        } else {
-            before.invokeOnCompletion {
-                context.writeAndFlush(response)
-                lingerClose()
-            }
-        }
+        dropWaiting()
+        requests.cancelBegun()
+        lingerClose()
     }
 
-    private fun encode(answer: Answer): FullHttpResponse {
-        val content = Unpooled.wrappedBuffer(answer.body)
-        val status = HttpResponseStatus.valueOf(answer.status)
-        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content)
-        val own = answer.headers == null
-        if (answer.headers != null) response.headers().set(answer.headers)
-        if (own) response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json")
-        answer.retryAfter?.let {
-            response.headers().set(HttpHeaderNames.RETRY_AFTER, it.toString(DurationUnit.SECONDS, 2).dropLast(1))
-        }
-        if (answer.status != NO_CONTENT && answer.status != NOT_MODIFIED) {
-            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.body.size)
-        }
-        return response
+    private fun readMore() {
+        if (!closing) context.channel().config().isAutoRead = !requests.full
+    }
+
+    private fun refuse(status: Int) {
+        closing = true
+        dropWaiting()
+        val retry = if (status == UNAVAILABLE) RETRY_LATER else null
+        requests.refuse(Answer(status, null, "{\"status\":$status}".encodeToByteArray(), retry))
+        deliver()
     }
 
     /**
@@ -209,29 +198,17 @@
         if (slow || (!busy && idleFor > listener.limits.idleTimeout)) close() else watchIdle()
     }
 
-    private fun dropBodies() {
-        (pending + listOfNotNull(arriving)).forEach { listener.bodies.release(it.reserved) }
-        pending.clear()
+    private fun dropWaiting() {
+        (requests.dropWaiting() + listOfNotNull(arriving)).forEach { listener.bodies.release(it.reserved) }
         arriving = null
     }
 
     private fun callerOf(ctx: ChannelHandlerContext): String =
         (ctx.channel().remoteAddress() as? InetSocketAddress)?.address?.hostAddress.orEmpty()
 
-    private fun goOn() = DefaultFullHttpResponse(
-        HttpVersion.HTTP_1_1,
-        HttpResponseStatus.CONTINUE,
-        Unpooled.EMPTY_BUFFER,
-    )
-
     private companion object {
         const val TOO_LARGE = 413
         const val UNAVAILABLE = 503
-        const val NO_CONTENT = 204
-        const val NOT_MODIFIED = 304
-
-        /** Whole requests held behind the one being answered. */
-        const val MAX_PIPELINED = 4
         val LINGER = 500.milliseconds
         val RETRY_LATER = 200.milliseconds
     }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/CallerListener.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/CallerListener.kt
@@ -19,6 +19,7 @@
  *
  * @param currentLimits what callers may send now
  * @param bodies memory for request bodies
+ * @param mayRepeat whether requests to a target of a host may run more than once
  */
 internal class CallerListener(
     private val group: EventLoopGroup,
@@ -28,6 +29,7 @@
     val names: HeaderNames,
     val bodies: BodyMemory,
     private val currentLimits: () -> CallerLimits,
+    val mayRepeat: (host: String, target: String) -> Boolean,
     val serve: suspend (CallerRequest) -> Answer,
 ) {
     private val connections = HashSet<CallerConnection>()
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/HttpCaller.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/HttpCaller.kt
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
+import kotlinx.coroutines.CancellableContinuation
 import kotlinx.coroutines.suspendCancellableCoroutine
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.coroutines.resume
@@ -32,12 +33,20 @@
     /**
      * Calls [method] [path] at [address] (`ip:port`) with a JSON [body]. Null when no whole answer came within [limit];
      * the call may have taken effect.
+     *
+     * @param mostBytes a longer answer counts as none
      */
-    suspend fun call(address: String, method: String, path: String, body: ByteArray?, limit: Duration): HttpReply? =
-        withTimeoutOrNull(limit) {
-            val link = idle[address]?.removeLastOrNull()?.takeIf { it.open } ?: connect(address)
-            link?.call(address, method, path, body)
-        }
+    suspend fun call(
+        address: String,
+        method: String,
+        path: String,
+        body: ByteArray?,
+        limit: Duration,
+        mostBytes: Int = MAX_REPLY_BYTES,
+    ): HttpReply? = withTimeoutOrNull(limit) {
+        val link = idle[address]?.removeLastOrNull()?.takeIf { it.open } ?: connect(address, mostBytes)
+        link?.call(address, method, path, body)
+    }
 
     private suspend fun CallLink.call(address: String, method: String, path: String, body: ByteArray?): HttpReply? =
         suspendCancellableCoroutine { continuation ->
@@ -48,11 +57,14 @@
             }
         }
 
-    private suspend fun connect(address: String): CallLink? = suspendCancellableCoroutine { continuation ->
+    private suspend fun connect(address: String, mostBytes: Int): CallLink? =
+        suspendCancellableCoroutine { connect(address, mostBytes, it) }
+
+    private fun connect(address: String, mostBytes: Int, continuation: CancellableContinuation<CallLink?>) {
         val link = CallLink()
         val initializer = object : ChannelInitializer<Channel>() {
             override fun initChannel(channel: Channel) {
-                channel.pipeline().addLast(HttpClientCodec(), HttpObjectAggregator(MAX_REPLY_BYTES), link)
+                channel.pipeline().addLast(HttpClientCodec(), HttpObjectAggregator(mostBytes), link)
             }
         }
         val future = bootstrap.clone().handler(initializer).connect(UpstreamLinks.socketAddress(address))
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamLink.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamLink.kt
@@ -27,6 +27,7 @@
  *
  * @param released told when the connection can carry another request
  * @param closed told when it cannot any more
+ * @param memory for answers that are not complete yet
  */
 internal class UpstreamLink(
     private val channel: Channel,
@@ -35,12 +36,15 @@
     private val released: (UpstreamLink) -> Unit,
     private val closed: (UpstreamLink) -> Unit,
     private val decoder: AnswerDecoder,
+    private val memory: BodyMemory,
 ) : ChannelInboundHandlerAdapter(),
     KeptLink {
     private var outbound: Outbound? = null
     private var done: ((AttemptResult) -> Unit)? = null
     private var head: HttpResponse? = null
     private var body = ByteCollector()
+    private var reserved = 0L
+    private var skipped = 0L
     private var skipping = false
     private var broken = false
 
@@ -68,6 +72,7 @@
     /** Gives up on the request and ends the connection, by which the upstream learns of it. */
     override fun abandon() {
         broken = true
+        releaseMemory()
         done = null
         channel.close()
     }
@@ -105,12 +110,18 @@
         if (skipping && response.status().code() >= FINAL_STATUS) doubtful = true
         head = response
         body = ByteCollector()
+        releaseMemory()
     }
 
     private fun collect(content: HttpContent) {
-        if (!skipping) {
+        val bytes = content.content().readableBytes().toLong()
+        if (skipping) {
+            skipped += bytes
+            if (skipped > MAX_SKIPPED_BYTES) return fail(LossCause.GARBLED)
+        } else {
+            if (body.size + bytes > MAX_ANSWER_BYTES || !memory.take(bytes)) return fail(LossCause.GARBLED)
+            reserved += bytes
             body.add(content.content())
-            if (body.size > MAX_ANSWER_BYTES) return fail(LossCause.GARBLED)
         }
         if (content !is LastHttpContent) return
         if (skipping) {
@@ -128,6 +139,8 @@
         done = null
         outbound = null
         head = null
+        skipped = 0
+        releaseMemory()
         idleSince = ticker.now()
         if (keep) {
             released(this)
@@ -163,8 +176,14 @@
         header.split(',').map { it.trim() }.firstOrNull { it.startsWith("timeout=") }
             ?.substringAfter('=')?.toIntOrNull()?.seconds
 
+    private fun releaseMemory() {
+        memory.release(reserved)
+        reserved = 0
+    }
+
     private fun fail(cause: LossCause) {
         broken = true
+        releaseMemory()
         val tell = done
         done = null
         channel.close()
@@ -200,6 +219,9 @@
         /** Where the upstream does not say: shorter than any usual setting. */
         val DEFAULT_KEEP_ALIVE = 4.seconds
 
+        /** Late answers and interim ones before the awaited one, beyond which the connection is of no use. */
+        const val MAX_SKIPPED_BYTES = 1024 * 1024
+
         /** An answer is held whole until it is known to be complete. */
         const val MAX_ANSWER_BYTES = 32 * 1024 * 1024
     }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamLinks.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamLinks.kt
@@ -14,11 +14,17 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Connections to upstreams by address, kept for reuse. Used from the event loop only. */
+/**
+ * Connections to upstreams by address, kept for reuse. Used from the event loop only.
+ *
+ * @param memory for answers that are not complete yet
+ * @param opened called for each new connection
+ */
 internal class UpstreamLinks(
     group: EventLoopGroup,
     private val names: HeaderNames,
     private val ticker: Ticker,
+    private val memory: BodyMemory,
     private val opened: () -> Unit = {},
 ) {
     private val idle = HashMap<String, IdleLinks<UpstreamLink>>()
@@ -55,8 +61,15 @@
             val initializer = object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) {
                     val decoder = AnswerDecoder()
-                    val created =
-                        UpstreamLink(channel, names, ticker, { release(address, it) }, { forget(address, it) }, decoder)
+                    val created = UpstreamLink(
+                        channel,
+                        names,
+                        ticker,
+                        { release(address, it) },
+                        { forget(address, it) },
+                        decoder,
+                        memory,
+                    )
                     link = created
                     channel.pipeline().addLast(HttpRequestEncoder(), decoder, created)
                 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/ActiveChoice.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/ActiveChoice.kt
@@ -21,7 +21,9 @@
     }
 
     /** Warm entries first, of these those that carry most. */
-    val ORDER: Comparator<Standing> = compareBy<Standing> { !it.warm }.thenByDescending { it.capacity }.thenBy { it.name }
+    val ORDER: Comparator<Standing> = compareBy<Standing> {
+        !it.warm
+    }.thenByDescending { it.capacity }.thenBy { it.name }
 
     /** With fewer entries the loss of one would leave its zone's callers without another. */
     const val FEWEST = 2
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/ActiveSet.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/ActiveSet.kt
@@ -4,8 +4,8 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Which entries take callers, as this entry knows. An entry that takes callers is greeted by all of its zone and chooses
- * with [ActiveChoice]; the others, which hear few, go by the choice that the zone's lead tells.
+ * Which entries take callers, as this entry knows. One that does is greeted by all of its zone and chooses with
+ * [ActiveChoice]; the others, which hear few, go by the choice that the zone's lead tells.
  */
 internal class ActiveSet(
     private val self: String,
@@ -44,7 +44,9 @@
     fun addressesOf(zone: String): List<String> =
         if (zone == record.zone) chosen.mapNotNull(::addressOf) else ActiveChoice.of(known(zone)).map { it.callers }
 
-    private fun ownChoice(): List<String> = ActiveChoice.of(known(record.zone) + listOfNotNull(ownStanding())).map { it.name }
+    private fun ownChoice(): List<String> = ActiveChoice.of(known(record.zone) + listOfNotNull(ownStanding())).map {
+        it.name
+    }
 
     private fun toldBy(leads: List<PeerRow>): List<String> =
         leads.minWith(compareBy(ActiveChoice.ORDER) { it.standing() }).hello?.zoneActive.orEmpty()
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/GreetingPlan.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/GreetingPlan.kt
@@ -37,7 +37,9 @@
     /** Entries of zones of which none that takes callers is known, the likeliest ones. */
     private fun presumed(far: List<PeerRow>): List<PeerRow> =
         far.groupBy { it.record.zone }.values.filter { rows -> rows.none(::takesCallers) }
-            .flatMap { rows -> rows.sortedWith(compareBy(ActiveChoice.ORDER) { it.standing() }).take(ActiveChoice.FEWEST) }
+            .flatMap { rows ->
+                rows.sortedWith(compareBy(ActiveChoice.ORDER) { it.standing() }).take(ActiveChoice.FEWEST)
+            }
 
     private fun inTurn(rest: List<PeerRow>): List<PeerRow> {
         if (rest.isEmpty()) return emptyList()
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/EntryCapacity.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/EntryCapacity.kt
@@ -4,7 +4,7 @@
 
 /** What an entry can carry, as far as the size of its VM tells. */
 internal object EntryCapacity {
-    /** Requests a second that an entry with [limits] carries: what its processor or its link bears, whichever is less. */
+    /** Requests a second that an entry with [limits] carries: what its processor or its link bears. */
     fun of(limits: ProcessLimits): Int {
         val processor = limits.processorShare * limits.processorSpeed * REQUESTS_PER_CORE_S
         val link = limits.linkMbps * BYTES_PER_MEGABIT / BYTES_PER_REQUEST
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -52,7 +52,7 @@
  * One gateway: listeners, decisions, peers and the store, wired together on one event loop. Everything but the log's
  * writer runs on that loop, so no state needs a lock.
  *
- * @param sinceStart time since the process began
+ * @param sinceStart time since the program began to run; the runtime's own start comes before
  */
 class GatewayProcess(
     private val settings: GatewaySettings,
@@ -84,7 +84,7 @@
         splits,
         timer::start,
     )
-    private val links = UpstreamLinks(group, adapter.headers, ticker, metrics::connected)
+    private val links = UpstreamLinks(group, adapter.headers, ticker, BodyMemory(bodyShare()), metrics::connected)
     private val book: StateBook = StateBook(adapter.codec, upstreams, ticker, log, ::stateChanged) {
         links.closeIdle(it.record.address)
     }
@@ -127,8 +127,9 @@
         scope,
         ticker,
         adapter.headers,
-        BodyMemory(settings.limits.memoryMb * BODY_SHARE_BYTES),
+        BodyMemory(bodyShare()),
         { book.state?.limits ?: CallerLimits() },
+        { host, target -> book.routes.find(host, target)?.kind?.repeatable ?: false },
         flow::serve,
     )
     private val began = ticker.now()
@@ -205,6 +206,8 @@
         watcher.follow()
     }
 
+    private fun bodyShare(): Long = settings.limits.memoryMb * BODY_SHARE_BYTES
+
     private fun ownEntry() = ticker.now().let { OwnEntry(serving, it - began, loads.requestsPerS(it)) }
 
     private suspend fun askPeer(peer: String, question: String): ByteArray? =
@@ -274,8 +277,8 @@
         const val PEER_STATE = "/state/"
         val PEER_LIMIT = 500.milliseconds
 
-        /** Bytes of request bodies held at once, for each megabyte of the VM. */
-        const val BODY_SHARE_BYTES = 160L * 1024
+        /** Bytes held at once of request bodies, and as many of answers, for each megabyte of the VM. */
+        const val BODY_SHARE_BYTES = 100L * 1024
 
         /** How often a look is taken whether a greeting is due. */
         val GREETINGS = 100.milliseconds
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/LoadProber.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/LoadProber.kt
@@ -43,7 +43,7 @@
         val began = ticker.now()
         row.probedAt = began
         metrics.probed()
-        val reply = caller.call(row.record.address, "GET", path, null, LIMIT)
+        val reply = caller.call(row.record.address, "GET", path, null, LIMIT, MOST_BYTES)
         val now = ticker.now()
         row.probeTook += (now - began - row.probeTook) * LEARNING
         // Another upstream may live at the address by now.
@@ -53,6 +53,7 @@
 
     private companion object {
         val LIMIT = 150.milliseconds
+        const val MOST_BYTES = 16 * 1024
         const val LEARNING = 0.2
     }
 }
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/ManyEntriesSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/ManyEntriesSpec.kt
@@ -74,7 +74,9 @@
             for (zone in listOf("a", "b", "c", "d", "e")) {
                 val chosen = cell.active(zone).toSet()
                 assertEquals(ActiveChoice.FEWEST, chosen.size, "$zone has $chosen")
-                cell.entries.filter { it.zone == zone }.forEach { assertEquals(chosen, it.roles.chosen.toSet(), it.name) }
+                cell.entries.filter {
+                    it.zone == zone
+                }.forEach { assertEquals(chosen, it.roles.chosen.toSet(), it.name) }
             }
         }
 
