Start the gateway from a small jar of its own, with a log that needs no search

Cause, by the list of classes with their times (-Xlog:class+load) of a start under the deploy file's options: of 0.78 s to the listeners, pinned to one busy core, the runtime and the jar of 21,731 files took 0.19 s, the command line's other commands 0.13 s, the management beans (for the time of the process's start) 0.02 s, Logback's search for a configuration with its annotations and code linked at run time 0.11 s.

Change: module daemon, whose jar has 6,295 files and whose main knows just `gateway` and `selftest`; GatewayLogProvider gives SLF4J a Logback that is set up by code; LineQueue in place of Logback's queue, whose start links code at run time; times since main, not since the runtime's own start. The self-test comes back when it is told that a request has not run: it made a build fail on a loaded machine (once here: its first request was refused after 305 ms, since nothing was known of the store yet).

Ruled out: a runtime image by jlink (would spare the flight recorder's 0.03 s; the module list must then follow every library), Netty without annotations (0.03 s; its own handlers have them).

--- /dev/null
+++ b/daemon/src/main/kotlin/io/poplarwood/daemon/Main.kt
@@ -0,0 +1,35 @@
+package io.poplarwood.daemon
+
+import java.nio.file.Path
+import kotlin.system.exitProcess
+
+private const val FAILED = 1
+private const val BAD_USAGE = 2
+private const val USAGE = "usage: gateway [--settings FILE], with the file in POPLARWOOD_CONFIG otherwise; or selftest"
+
+/**
+ * Starts a gateway as `poplarwood gateway` does, without the command line's other commands, which a start would have to
+ * load. Exits with 1 after a failure and with 2 after bad usage or settings.
+ */
+fun main(args: Array<String>) {
+    if (args.contentEquals(arrayOf("selftest"))) exitProcess(selfTest())
+    val file = settingsFile(args.toList())
+    if (file == null) {
+        System.err.println(USAGE)
+        exitProcess(BAD_USAGE)
+    }
+    if (!GatewayRunner.run(Path.of(file)) { System.err.println(it) }) exitProcess(BAD_USAGE)
+    exitProcess(0)
+}
+
+private fun settingsFile(args: List<String>): String? = when {
+    args.size == 1 && args[0] == "gateway" -> System.getenv("POPLARWOOD_CONFIG")
+    args.size == 3 && args[0] == "gateway" && args[1] == "--settings" -> args[2]
+    else -> null
+}
+
+private fun selfTest(): Int {
+    val served = SelfTest.run()
+    System.err.println("selftest: $served of ${SelfTest.REQUESTS} requests answered")
+    return if (served == SelfTest.REQUESTS) 0 else FAILED
+}
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayLogging.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayLogging.kt
@@ -1,24 +1,29 @@
 package io.poplarwood.gateway.log
 
-import ch.qos.logback.classic.AsyncAppender
 import ch.qos.logback.classic.Level
 import ch.qos.logback.classic.LoggerContext
 import ch.qos.logback.classic.encoder.JsonEncoder
-import ch.qos.logback.classic.spi.Configurator
 import ch.qos.logback.classic.spi.ILoggingEvent
 import ch.qos.logback.core.ConsoleAppender
-import ch.qos.logback.core.spi.ContextAwareBase
 
 /**
  * Sets the log of a gateway up: JSON lines on standard output, written by a thread of their own, and dropped rather
- * than waited for when nobody reads them. Takes effect when [ENABLED] is set before the first line; other commands keep
- * their configuration file, which takes longer to read.
+ * than waited for when nobody reads them. Takes effect when [enable] is called before the first line; other commands
+ * keep their configuration file, which takes longer to read.
  */
-class GatewayLogging :
-    ContextAwareBase(),
-    Configurator {
-    override fun configure(context: LoggerContext): Configurator.ExecutionStatus {
-        if (!enabled) return Configurator.ExecutionStatus.INVOKE_NEXT_IF_ANY
+object GatewayLogging {
+    /** Makes this process log as a gateway; called before the first line. */
+    fun enable() {
+        System.setProperty("slf4j.provider", GatewayLogProvider::class.java.name)
+        System.setProperty("slf4j.internal.verbosity", "WARN")
+    }
+
+    /** Writes out what is queued. */
+    fun flush() {
+        (org.slf4j.LoggerFactory.getILoggerFactory() as? LoggerContext)?.stop()
+    }
+
+    internal fun configure(context: LoggerContext) {
         val lines = JsonEncoder().apply {
             this.context = context
             setWithSequenceNumber(false)
@@ -35,12 +40,8 @@
             encoder = lines
             start()
         }
-        val queue = AsyncAppender().apply {
+        val queue = LineQueue(console).apply {
             this.context = context
-            queueSize = QUEUE_LINES
-            discardingThreshold = 0
-            isNeverBlock = true
-            addAppender(console)
             start()
         }
         context.getLogger("ROOT").apply {
@@ -48,21 +49,5 @@
             addAppender(queue)
         }
         context.getLogger("poplarwood").level = Level.INFO
-        return Configurator.ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY
-    }
-
-    companion object {
-        private const val QUEUE_LINES = 2_000
-        private var enabled = false
-
-        /** Makes this process log as a gateway; called before the first line. */
-        fun enable() {
-            enabled = true
-        }
-
-        /** Writes out what is queued. */
-        fun flush() {
-            (org.slf4j.LoggerFactory.getILoggerFactory() as? LoggerContext)?.stop()
-        }
     }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayDaemon.kt
@@ -9,11 +9,9 @@
 import io.poplarwood.gateway.settings.GatewaySettingsReader
 import kotlinx.coroutines.runBlocking
 import sun.misc.Signal
-import java.lang.management.ManagementFactory
 import java.nio.file.Path
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.nanoseconds
 
 /**
@@ -37,12 +35,12 @@
         System.setProperty("io.netty.machineId", "00:00:00:00:00:01")
         // Nobody records its buffers' events, and defining them at run time takes a noticeable part of a start.
         System.setProperty("io.netty.jfr.enabled", "false")
-        val begunMs = ManagementFactory.getRuntimeMXBean().startTime
+        val began = ticker.now()
         Signal.handle(Signal("TERM")) { requests.add(Request.STOP) }
         Signal.handle(Signal("INT")) { requests.add(Request.STOP) }
         Signal.handle(Signal("HUP")) { requests.add(Request.RELOAD) }
         val random = SplitMix(System.nanoTime() xor settings.entry.hashCode().toLong())
-        val sinceStart = { (System.currentTimeMillis() - begunMs).milliseconds }
+        val sinceStart = { ticker.now() - began }
         val process = GatewayProcess(settings, adapter, ticker, random, sinceStart)
         runBlocking { process.start() }
         while (requests.poll(CHECK_SECONDS, TimeUnit.SECONDS) != Request.STOP) reload(process)
