Let idle entries rest, ask as many upstreams as the next requests need, tell news at once

Cause: at 152 entries an idle one still woke about 57 times a second (five loops of its own and greetings), and the leads asked 300 upstreams 92,152 times for 12,280 requests. Two specs in virtual time showed news that took too long when few entries reach the store (2.1 to 2.3 s of 2 s): a change found by a whole read waited for the next greeting at each hop, a standby's news went to nobody else, and a new follower found out only after a second that the store does not answer it.

Change: one loop for greetings, roles and what is due, ten times a second where callers are taken and four times elsewhere; watchers wait for it. ProbeChoice keeps ten quick upstreams known, and one more for each request in flight, in the lead's zone. Numbers of an entry are forgotten by what it told, not by going through all upstreams. The repeat budget counts two entries of each zone at least, so entries that take over together and know few others do not spend it several times (PeerTableSpec).

The need of ten as committed: not measured yet.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/log/LineQueue.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/log/LineQueue.kt
@@ -4,7 +4,6 @@
 import ch.qos.logback.core.Appender
 import ch.qos.logback.core.UnsynchronizedAppenderBase
 import java.util.concurrent.ArrayBlockingQueue
-import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
 
 /**
@@ -23,6 +22,7 @@
     /** Ends the thread once all lines are written, or after a while. */
     override fun stop() {
         super.stop()
+        writer?.interrupt()
         writer?.join(LONGEST_STOP_MS)
         target.stop()
     }
@@ -32,16 +32,16 @@
     }
 
     private fun write() {
-        while (isStarted || lines.isNotEmpty()) {
-            lines.poll(CHECK_MS, TimeUnit.MILLISECONDS)?.let { target.doAppend(it) }
+        try {
+            while (isStarted) target.doAppend(lines.take())
+        } catch (e: InterruptedException) {
+            // The queue was stopped; what is left is written below.
         }
+        while (true) target.doAppend(lines.poll() ?: return)
     }
 
     private companion object {
         const val MOST_LINES = 2_000
         const val LONGEST_STOP_MS = 1_000L
-
-        /** How often the thread looks whether it is to end. */
-        const val CHECK_MS = 500L
     }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/LoadBoard.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/LoadBoard.kt
@@ -27,9 +27,16 @@
 ) {
     private val near = LoadBatch(upstreams, wakeNear)
     private val far = LoadBatch(upstreams, wakeFar)
+    private val tellers = HashSet<EntryId>()
     private val requests = SlidingCount(RATE_SPAN)
     private val latest = SlidingCount(LATEST_SPAN)
 
+    /** Forgets what [entry] told, which has become silent. */
+    fun forget(entry: String) {
+        val id = EntryId(entry)
+        if (tellers.remove(id)) upstreams.forget(id)
+    }
+
     /** Notes that a request arrived here. */
     fun served() {
         requests.add(ticker.now())
@@ -66,7 +73,8 @@
     fun receive(entry: String, load: List<UpstreamLoad>, whole: Boolean) {
         val id = EntryId(entry)
         val now = ticker.now()
-        if (whole) upstreams.forget(id)
+        if (whole && tellers.remove(id)) upstreams.forget(id)
+        if (load.isNotEmpty()) tellers += id
         for (news in load) {
             val row = upstreams[news.upstream] ?: continue
             row.setOther(id, news.inFlight)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerSync.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerSync.kt
@@ -1,13 +1,14 @@
 package io.poplarwood.gateway.peer
 
-import io.poplarwood.api.time.Ticker
 import io.poplarwood.gateway.store.Rows
 import io.poplarwood.gateway.store.StateBook
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -20,11 +21,12 @@
     private val ask: suspend (peer: String, question: String) -> ByteArray?,
     private val peers: PeerTable,
     private val book: StateBook,
-    private val ticker: Ticker,
     private val zone: String,
+    private val scope: CoroutineScope,
 ) {
     private val cbor = Cbor { ignoreUnknownKeys = true }
-    private var behindSince: Duration? = null
+    private var looking = false
+    private var asking = false
 
     /** What this entry tells a peer that asks [question], the versions that it knows itself. */
     fun answer(question: String): ByteArray {
@@ -40,20 +42,34 @@
         return cbor.encodeToByteArray(news)
     }
 
-    /** Asks a peer that knows more, once it has known more for a while. */
-    suspend fun tick() {
-        val now = ticker.now()
-        val ahead = peers.live.filter { knowsMore(it) }
-        if (ahead.isEmpty()) {
-            behindSince = null
-            return
+    /** Looks soon whether a peer knows more; news of one change come from different entries, so not at once. */
+    fun lookSoon() {
+        if (looking) return
+        looking = true
+        scope.launch {
+            if (book.state != null) delay(PATIENCE)
+            looking = false
+            look()
         }
-        val since = behindSince ?: now.also { behindSince = it }
-        if (book.state != null && now - since < PATIENCE) return
+    }
+
+    /** Asks a peer that knows more, if there is one. */
+    fun look() {
+        val ahead = peers.live.filter { knowsMore(it) }
+        if (asking || ahead.isEmpty()) return
         val peer = ahead.firstOrNull { it.record.zone == zone } ?: ahead.first()
-        ask(peer.record.peers, "${book.stateVersion}$SEPARATOR${book.upstreamVersion}")?.let { take(it, peer.name) }
+        asking = true
+        scope.launch {
+            try {
+                ask(peer.record.peers, question())?.let { take(it, peer.name) }
+            } finally {
+                asking = false
+            }
+        }
     }
 
+    private fun question() = "${book.stateVersion}$SEPARATOR${book.upstreamVersion}"
+
     private fun knowsMore(peer: PeerRow): Boolean {
         val hello = peer.hello ?: return false
         return hello.stateVersion > book.stateVersion || hello.upstreamVersion > book.upstreamVersion
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerTable.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerTable.kt
@@ -55,13 +55,20 @@
     val active: List<PeerRow> get() = rows.values.filter { it.active }
 
     /**
-     * Entries that share a budget now, this one included: those that take requests or took some within its window. An
-     * entry that has not been heard yet is presumed to share it.
+     * Entries that share a budget now, this one included: in each zone those that take requests or took some within the
+     * budget's window, and as many as take requests at least. An entry that has not been heard yet is presumed to.
      */
-    fun sharing(now: Duration): Int = 1 + rows.values.count {
-        it.active || now - it.busyAt < SHARES || (it.hello == null && now - it.heardAt < SHARES)
+    fun sharing(now: Duration): Int {
+        val zones = rows.values.groupBy { it.record.zone }.values
+        val others = zones.sumOf { zone ->
+            maxOf(zone.count { shares(it, now) }, minOf(zone.size, ActiveChoice.FEWEST))
+        }
+        return 1 + others
     }
 
+    private fun shares(row: PeerRow, now: Duration) =
+        row.active || now - row.busyAt < SHARES || (row.hello == null && now - row.heardAt < SHARES)
+
     private companion object {
         val FORGOTTEN = 60.seconds
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/Peers.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/Peers.kt
@@ -1,6 +1,5 @@
 package io.poplarwood.gateway.peer
 
-import io.poplarwood.api.id.EntryId
 import io.poplarwood.api.time.Ticker
 import io.poplarwood.gateway.decision.CrashSuspects
 import io.poplarwood.gateway.log.EventLog
@@ -10,7 +9,7 @@
 import io.poplarwood.gateway.store.StateBook
 import io.poplarwood.gateway.store.Topic
 import io.poplarwood.gateway.store.WatchDuty
-import io.poplarwood.gateway.upstream.UpstreamTable
+import kotlinx.coroutines.CompletableDeferred
 import java.util.EnumSet
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -26,7 +25,6 @@
     private val record: PeerRecord,
     private val table: PeerTable,
     private val roles: ActiveSet,
-    private val upstreams: UpstreamTable,
     private val book: StateBook,
     private val crashes: CrashSuspects,
     private val ticker: Ticker,
@@ -55,20 +53,34 @@
     /** Requests of this entry at upstreams. */
     lateinit var loads: LoadBoard
 
+    /** Called when another entry knows more of the store. */
+    var askPeers: () -> Unit = {}
+    private var told = 0L to 0L
+
     override val entries: Int get() = table.all.size + 1
 
-    /** Greets other entries when that is due; finds those that have become silent. */
+    private var look = CompletableDeferred<Unit>()
+
+    override suspend fun nextLook() = look.await()
+
+    /** Greets other entries when that is due; finds those that have become silent; to be called again and again. */
     fun tick() {
         findSilent(ticker.now())
         refreshRoles()
         val period = if (audience.wide) GreetingPlan.ACTIVE else GreetingPlan.STANDBY
-        if (urgent || ticker.now() - greetedAt >= period) hello()
+        if (urgent || hasNews() || ticker.now() - greetedAt >= period) hello()
+        look.complete(Unit)
+        look = CompletableDeferred()
     }
 
+    private fun versions() = book.stateVersion to book.upstreamVersion
+
+    private fun hasNews() = audience.wide && versions() != told
+
     private fun findSilent(now: Duration) {
         for (row in table.silence(now)) {
             log.log(GatewayEvent.PEER_SILENT, row.name, (now - row.heardAt).inWholeMilliseconds)
-            upstreams.forget(EntryId(row.name))
+            loads.forget(row.name)
         }
     }
 
@@ -83,6 +95,7 @@
         val now = ticker.now()
         greetedAt = now
         urgent = false
+        told = versions()
         for (greeting in audience.next()) {
             val load = if (greeting.withLoad) loads.whole() else null
             send(greetingOf(now, greeting.every, load), greeting.to)
@@ -153,20 +166,24 @@
     }
 
     private fun heard(hello: PeerMessage.Hello) {
-        val now = ticker.now()
         val before = table[hello.from]
         val left = before?.hello?.stopping ?: false
         val wasActive = before?.active ?: false
-        val fresh = table.heard(hello, now)
+        val fresh = table.heard(hello, ticker.now())
         if (fresh) log.log(GatewayEvent.PEER_SEEN, hello.from, hello.callers)
         if (hello.stopping && !left) log.log(GatewayEvent.PEER_LEAVING, hello.from)
         hello.load?.let { loads.receive(hello.from, it, whole = true) }
-        if (hello.upstreamVersion <= book.coveredVersion) book.coverTo(hello.coveredVersion)
-        val asFresh = hello.upstreamVersion <= book.upstreamVersion && hello.stateVersion <= book.stateVersion
-        if (asFresh) book.confirm(now - hello.confirmedMs.milliseconds - ON_THE_WAY)
+        compareKnowledge(hello)
         if (hello.active && !wasActive) tookOver(hello)
         // An entry that has just started learns at once of this one, and what there is to know.
-        if (fresh && roles.active) send(greetingOf(now, GreetingPlan.ACTIVE, null), listOf(hello.peers))
+        if (fresh && roles.active) send(greetingOf(ticker.now(), GreetingPlan.ACTIVE, null), listOf(hello.peers))
+    }
+
+    /** Compares what the sender of [hello] knows of the store with what is known here. */
+    private fun compareKnowledge(hello: PeerMessage.Hello) {
+        if (hello.upstreamVersion <= book.coveredVersion) book.coverTo(hello.coveredVersion)
+        val behind = hello.upstreamVersion > book.upstreamVersion || hello.stateVersion > book.stateVersion
+        if (behind) askPeers() else book.confirm(ticker.now() - hello.confirmedMs.milliseconds - ON_THE_WAY)
     }
 
     /** An entry takes callers that did not before: its zone greets it, and those that do so elsewhere hear of it. */
@@ -183,10 +200,16 @@
         val version = rows.maxOfOrNull { it.version } ?: return
         val known = book.upstreamVersion
         book.takeChangedUpstreams(Rows(rows, version), news.after, news.from)
-        val fromElsewhere = table[news.from]?.record?.zone != record.zone
-        if (version <= known || !fromElsewhere || !roles.isLead) return
-        val zone = table.liveOf(record.zone).map { it.record.peers }
-        send(PeerMessage.UpstreamNews(self, news.after, news.rows), zone)
+        if (version > known && roles.isLead) relay(news)
+    }
+
+    /** Passes [news] on to those whom its sender does not reach: an entry that takes no callers knows few others. */
+    private fun relay(news: PeerMessage.UpstreamNews) {
+        val sender = table[news.from] ?: return
+        val near = sender.record.zone == record.zone
+        if (near && sender.active) return
+        val to = if (sender.active) table.liveOf(record.zone) else table.live
+        send(PeerMessage.UpstreamNews(self, news.after, news.rows), (to - sender).map { it.record.peers })
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -93,7 +93,7 @@
     private val roles = ActiveSet(settings.entry, record, peerTable, ::ownEntry)
     private val socket = PeerSocket(group, record.peers, { peers.receive(it) }, unreadable = {})
     private val peers: Peers =
-        Peers(socket::send, settings.entry, record, peerTable, roles, upstreams, book, decisions.crashes, ticker, log) {
+        Peers(socket::send, settings.entry, record, peerTable, roles, book, decisions.crashes, ticker, log) {
             pump()
         }
     private val loads: LoadBoard = LoadBoard(
@@ -114,7 +114,7 @@
         metrics,
         ticker,
     )
-    private val sync = PeerSync(::askPeer, peerTable, book, ticker, settings.zone)
+    private val sync = PeerSync(::askPeer, peerTable, book, settings.zone, scope).also { peers.askPeers = it::lookSoon }
     private val register = EntryRegister(store, settings.entry, record, peerTable, ticker, log)
     private val lessons = Lessons(decisions, loads, log)
     private val requestLog = RequestLog(log, metrics, ticker)
@@ -149,10 +149,8 @@
         InternalListener(group, settings.listen.peers, ::knowledge).start()
         InternalListener(group, settings.listen.metrics) { InternalReply(OK, "text/plain", metrics.text()) }.start()
         socket.start()
-        keep("greetings") { every(GREETINGS) { peers.tick() } }
-        keep("sync") { every(SYNC) { sync.tick() } }
+        keep("look") { lookAround() }
         keep("probes") { probe() }
-        keep("tick") { every(TICK) { tick() } }
         val started = sinceStart().inWholeMilliseconds
         log.log(GatewayEvent.STARTED, settings.entry, settings.zone, settings.listen.callers, started)
     }
@@ -218,13 +216,19 @@
     private suspend fun probe() {
         while (true) {
             if (roles.active) prober.tick(scope)
-            delay(if (roles.active) PROBES else TICK)
+            if (roles.active) delay(PROBES) else peers.nextLook()
         }
     }
 
-    private fun tick() {
-        book.tick()
-        links.closeExpired()
+    /** All that is done again and again stands in one loop, so that an idle entry seldom wakes. */
+    private suspend fun lookAround() {
+        while (true) {
+            peers.tick()
+            sync.look()
+            book.tick()
+            links.closeExpired()
+            delay(if (roles.active || !serving) ACTIVE_LOOK else STANDBY_LOOK)
+        }
     }
 
     private fun pump(): Boolean {
@@ -261,13 +265,6 @@
         }
     }
 
-    private suspend fun every(period: Duration, work: suspend () -> Unit) {
-        while (true) {
-            work()
-            delay(period)
-        }
-    }
-
     private companion object {
         const val OK = 200
         const val TEXT = "text/plain"
@@ -280,12 +277,11 @@
         /** Bytes held at once of request bodies, and as many of answers, for each megabyte of the VM. */
         const val BODY_SHARE_BYTES = 100L * 1024
 
-        /** How often a look is taken whether a greeting is due. */
-        val GREETINGS = 100.milliseconds
-        val SYNC = 100.milliseconds
+        /** How often an entry looks whether something is due. */
+        val ACTIVE_LOOK = 100.milliseconds
+        val STANDBY_LOOK = 250.milliseconds
 
         val PROBES = 20.milliseconds
-        val TICK = 200.milliseconds
 
         /** News of load are gathered for this long, since every entry that takes requests has to read each of them. */
         val NEAR_NEWS = 3.milliseconds
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/LoadProber.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/LoadProber.kt
@@ -1,6 +1,7 @@
 package io.poplarwood.gateway.runtime
 
 import io.poplarwood.api.id.ServiceName
+import io.poplarwood.api.id.Zone
 import io.poplarwood.api.time.Ticker
 import io.poplarwood.gateway.decision.ProbeChoice
 import io.poplarwood.gateway.http.HeaderNames
@@ -31,11 +32,12 @@
     /** Asks those upstreams of this entry that are due. */
     fun tick(scope: CoroutineScope) {
         val services = book.state?.services ?: return
+        val zones = HashMap<Zone, Boolean>()
         for ((name, spec) in services) {
-            val due = choice.due(upstreams.of(name), ticker.now())
-            for (row in due) {
-                if (duty.isFor(row.record.zone)) scope.launch { probe(row, name, spec.healthPath) }
+            val due = choice.due(upstreams.of(name), ticker.now()) { row ->
+                zones.getOrPut(row.record.zone) { duty.isFor(row.record.zone) }
             }
+            for (row in due) scope.launch { probe(row, name, spec.healthPath) }
         }
     }
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateWatcher.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateWatcher.kt
@@ -30,6 +30,7 @@
     private var lostAt: Duration? = null
     private var pause = FIRST_PAUSE
     private var margin = MARGIN
+    private var following = false
 
     /** Reads the topic until it succeeds once. */
     suspend fun readWhole() {
@@ -43,9 +44,14 @@
     /** Follows changes; does not return. */
     suspend fun follow() {
         while (true) {
-            if (!onDuty()) continue
+            if (!onDuty()) {
+                following = false
+                continue
+            }
             version = maxOf(version, duty.known(topic))
-            val wait = if (lostAt == null) WAIT else Duration.ZERO
+            // The first call finds out at once whether the store answers this entry.
+            val wait = if (following && lostAt == null) WAIT else Duration.ZERO
+            following = true
             val result = store.changes(topic, version, wait, wait + margin)
             if (result.getError() == StoreError.HistoryGone) {
                 readWhole()
@@ -66,7 +72,7 @@
         if (lostAt != null) return true
         when (duty.pace()) {
             FollowPace.QUICK -> return true
-            FollowPace.NONE -> delay(DUTY_CHECK)
+            FollowPace.NONE -> duty.nextLook()
             FollowPace.SHARED -> {
                 waitTurn(SHARED_PAUSE * (duty.entries * random.nextDouble()))
                 return duty.pace() != FollowPace.NONE
@@ -124,9 +130,7 @@
     /** Waits for [longest], or until this entry is to follow the store for all. */
     private suspend fun waitTurn(longest: Duration) {
         val until = ticker.now() + longest
-        while (ticker.now() < until && duty.pace() != FollowPace.QUICK) {
-            delay(minOf(DUTY_CHECK, until - ticker.now()))
-        }
+        while (ticker.now() < until && duty.pace() != FollowPace.QUICK) duty.nextLook()
     }
 
     private companion object {
@@ -136,7 +140,6 @@
         /** What an answer may take beside the time that the store waits; grows while the store is slow. */
         val MARGIN = 400.milliseconds
         val LONGEST_MARGIN = 1_600.milliseconds
-        val DUTY_CHECK = 100.milliseconds
 
         /** Changes come in groups; those that follow shortly are fetched by one call. */
         val GATHER = 150.milliseconds
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/WatchDuty.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/WatchDuty.kt
@@ -5,6 +5,9 @@
     /** How this entry follows the store now. */
     fun pace(): FollowPace
 
+    /** Waits until the pace may have changed. */
+    suspend fun nextLook()
+
     /** Number of entries that may look for the store at a shared pace. */
     val entries: Int
 
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/decision/ProbeChoiceSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/decision/ProbeChoiceSpec.kt
@@ -30,6 +30,32 @@
         assertEquals(false, due(row(asked = 10)))
     }
 
+    /** Guards against more questions than there are requests where a service has many upstreams. */
+    @Test
+    fun `asks no more than the next requests need`() {
+        val rows = List(30) { row("u$it") }
+        rows.take(4).forEach { it.ownInFlight = 1 }
+        val due = choice.due(rows, now)
+        assertEquals(14, due.size)
+        due.forEach { it.noteSlowness(1.0, now) }
+        assertEquals(emptyList(), choice.due(rows, now))
+    }
+
+    /** Guards against upstreams of which nobody knows anything since the requests of their service are elsewhere. */
+    @Test
+    fun `asks those of a zone without requests while the service has some`() {
+        assertEquals(listOf(row("u1").id), choice.due(listOf(row("u1"), busy), now) { it.id == "u1" }.map { it.id })
+    }
+
+    /** Guards against placing that takes a slow upstream because those it asked are slow as well. */
+    @Test
+    fun `asks further ones while those it asked are slow`() {
+        val rows = List(30) { row("u$it") }
+        rows.first().ownInFlight = 1
+        choice.due(rows, now).forEach { it.noteSlowness(4.0, now) }
+        assertEquals(11, choice.due(rows, now).size)
+    }
+
     /** Guards against probes while nobody needs what they tell. */
     @Test
     fun `asks nobody while the service has no requests`() {
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/EntryCell.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/EntryCell.kt
@@ -98,16 +98,16 @@
             record,
             table,
             roles,
-            upstreams,
             book,
             CrashSuspects(),
             ticker,
             log,
         ) {}
 
-        val sync = PeerSync(::ask, table, book, ticker, zone)
+        val sync = PeerSync(::ask, table, book, zone, scope)
 
         init {
+            peers.askPeers = sync::lookSoon
             peers.loads = LoadBoard(upstreams, ticker, {}, {}, { _, _ -> })
         }
 
@@ -123,15 +123,13 @@
                     watcher.follow()
                 }
             }
-            every(GREETINGS) { peers.tick() }
-            every(SYNC) { sync.tick() }
-        }
-    }
-
-    private fun every(period: Duration, act: suspend () -> Unit) = scope.launch {
-        while (true) {
-            act()
-            delay(period)
+            scope.launch {
+                while (true) {
+                    peers.tick()
+                    sync.look()
+                    delay(if (roles.active) ACTIVE_LOOK else STANDBY_LOOK)
+                }
+            }
         }
     }
 
@@ -146,7 +144,7 @@
 
     private companion object {
         val DATAGRAM: Duration = 2.milliseconds
-        val GREETINGS: Duration = 100.milliseconds
-        val SYNC: Duration = 100.milliseconds
+        val ACTIVE_LOOK: Duration = 100.milliseconds
+        val STANDBY_LOOK: Duration = 250.milliseconds
     }
 }
