Log which losses of upstreams are known when a request is sent, and when they are cleared

The log did not tell apart why a request under which upstreams had ended was sent on: losses never told, never counted, or dropped by an answer. No decision changes.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/CrashSuspects.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/CrashSuspects.kt
@@ -22,10 +22,11 @@
         return true
     }
 
-    /** Notes that a request with [fingerprint] was answered. */
-    fun answered(fingerprint: Long) {
-        if (rows.isNotEmpty()) rows.remove(fingerprint)
-    }
+    /** Notes that a request with [fingerprint] was answered; returns the losses that this clears. */
+    fun answered(fingerprint: Long): Int = if (rows.isEmpty()) 0 else rows.remove(fingerprint)?.size ?: 0
+
+    /** Upstreams that are known to have been lost under [fingerprint]. */
+    fun losses(fingerprint: Long): Int = rows[fingerprint]?.size ?: 0
 
     /** Whether a request with [fingerprint] must not run. */
     fun refuses(fingerprint: Long, now: Duration): Boolean {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
@@ -55,9 +55,19 @@
     CRASH_SUSPECT(
         6206,
         Level.WARN,
-        "upstreams were lost while they ran requests of one kind",
+        "an upstream was lost while it ran a request",
         "fingerprint",
         "upstream",
+        "losses",
+        "source",
+    ),
+    CRASH_CLEARED(
+        6207,
+        Level.INFO,
+        "an answer cleared a request under which upstreams were lost",
+        "fingerprint",
+        "status",
+        "losses",
     ),
     PEER_SEEN(6401, Level.INFO, "another entry was heard", "peer", "address"),
     PEER_SILENT(6402, Level.WARN, "another entry is silent", "peer", "silentMs"),
@@ -80,6 +90,7 @@
             "attempts",
             "trail",
             "version",
+            "fingerprint",
         )
     }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/Peers.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/Peers.kt
@@ -132,10 +132,20 @@
 
     /** Sends news of a lost upstream. */
     fun sendCrash(fingerprint: Long, upstream: String) {
-        log.log(GatewayEvent.CRASH_SUSPECT, fingerprint.toString(HEX), upstream)
+        logCrash(fingerprint, upstream, self)
         send(PeerMessage.CrashNews(self, fingerprint, upstream), table.live.map { it.record.peers })
     }
 
+    private fun crashTold(news: PeerMessage.CrashNews) {
+        val fresh = crashes.lost(news.fingerprint, news.upstream, ticker.now())
+        if (fresh) logCrash(news.fingerprint, news.upstream, news.from)
+    }
+
+    private fun logCrash(fingerprint: Long, upstream: String, source: String) {
+        val losses = crashes.losses(fingerprint)
+        log.log(GatewayEvent.CRASH_SUSPECT, java.lang.Long.toHexString(fingerprint), upstream, losses, source)
+    }
+
     override fun pace(): FollowPace {
         if (stopping) return FollowPace.NONE
         return choice.pace(table.live, roles.active, storeAnswers, ticker.now() - book.confirmedAt)
@@ -160,7 +170,7 @@
             is PeerMessage.Hello -> heard(message)
             is PeerMessage.LoadNews -> loads.receive(message.from, message.load, whole = false)
             is PeerMessage.UpstreamNews -> upstreamsChanged(message)
-            is PeerMessage.CrashNews -> crashes.lost(message.fingerprint, message.upstream, ticker.now())
+            is PeerMessage.CrashNews -> crashTold(message)
         }
         if (message !is PeerMessage.CrashNews) pump()
     }
@@ -213,8 +223,6 @@
     }
 
     private companion object {
-        const val HEX = 16
-
         /** Time that a greeting may take from one entry to another. */
         val ON_THE_WAY = 50.milliseconds
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Lessons.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Lessons.kt
@@ -43,7 +43,8 @@
         now: Duration,
     ) {
         reported(attempt.row, result.load, now)
-        decisions.crashes.answered(fingerprint)
+        val cleared = decisions.crashes.answered(fingerprint)
+        if (cleared > 0) log.log(GatewayEvent.CRASH_CLEARED, java.lang.Long.toHexString(fingerprint), result.status, cleared)
         if (result.status >= FIRST_SERVER_ERROR) {
             decisions.suspicion.failed(attempt.row)
         } else {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestFlow.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestFlow.kt
@@ -80,6 +80,7 @@
         report.route = route
         val service = decisions.splits.next(route)
         report.service = service.value
+        report.fingerprint = request.fingerprint
         val now = ticker.now()
         decisions.budget.request(service, now)
         if (decisions.crashes.refuses(request.fingerprint, now)) return refuse(report, Outcome.CRASHES, CRASH_PAUSE)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestLog.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestLog.kt
@@ -46,6 +46,7 @@
         report.attempts.size,
         report.attempts.joinToString(" ") { it.describe() },
         report.stateVersion,
+        java.lang.Long.toHexString(report.fingerprint),
     )
 
     /** Allows a number of lines each second. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestReport.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestReport.kt
@@ -8,6 +8,9 @@
     var route: Route? = null
     var service: String? = null
     var stateVersion: Long = 0
+
+    /** Which requests count as the same one when upstreams are lost under it. */
+    var fingerprint: Long = 0
     var waited: Duration = Duration.ZERO
     val attempts = ArrayList<Attempt>(2)
     var outcome: Outcome = Outcome.FAILED
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
@@ -230,7 +230,9 @@
     private fun basisOf(row: UpstreamRow, now: Duration): String {
         val age = now - row.slownessAt
         val known = if (age.isInfinite()) "" else ",slow=${row.slowness}@${age.inWholeMilliseconds}ms"
-        return "load=${row.inFlight}/${row.record.slots}$known"
+        val losses = decisions.crashes.losses(request.fingerprint)
+        val lost = if (losses == 0) "" else ",lost=$losses"
+        return "load=${row.inFlight}/${row.record.slots}$known$lost"
     }
 
     private companion object {
