Count a loss under a request when the upstream has ended, not when a connection has

Callers saw a request that ends upstreams go on being sent, and a common one refused. Cause: one connection that closed before a byte of the answer was the whole evidence. An upstream that ended within its answer, or after the request's own end, left none; a reset on the way left as much as an end.

Now every broken connection is a loss that holds for a second at most, until a new connection to the upstream tells whether it lives (100 ms later; one look serves all losses of that upstream, and the connection is kept). An upstream that accepts, or that told any entry of itself meanwhile, has not ended; where nothing can be reached this entry is cut off. A request given up while an upstream ran it is kept for ten seconds and counts when that upstream is found to have ended. Losses count in a row, each at an attempt that followed the one before: a rack that ends under equal requests counts once.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamLinks.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamLinks.kt
@@ -46,6 +46,13 @@
         }
     }
 
+    /** Whether [address] accepts a connection; one that was opened for this is kept for later requests. */
+    suspend fun reaches(address: String): Boolean {
+        val link = connect(address) ?: return false
+        release(address, link)
+        return true
+    }
+
     /** Ends the idle connections to [address]. */
     fun closeIdle(address: String) {
         idle.remove(address)?.closeAll()
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
@@ -58,6 +58,7 @@
         "an upstream was lost while it ran a request",
         "fingerprint",
         "upstream",
+        "ended",
         "losses",
         "source",
     ),
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/LoadBoard.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/LoadBoard.kt
@@ -16,14 +16,12 @@
  *
  * @param wakeNear called when there is something to send within the zone and nothing was before
  * @param wakeFar the same for other zones
- * @param crash sends news of a lost upstream at once
  */
 internal class LoadBoard(
     private val upstreams: UpstreamTable,
     private val ticker: Ticker,
     wakeNear: () -> Unit,
     wakeFar: () -> Unit,
-    private val crash: (fingerprint: Long, upstream: String) -> Unit,
 ) {
     private val near = LoadBatch(upstreams, wakeNear)
     private val far = LoadBatch(upstreams, wakeFar)
@@ -56,9 +54,6 @@
         note(row, (value * PERCENT).toInt())
     }
 
-    /** Notes that [upstream] was lost while it ran a request with [fingerprint]. */
-    fun crashed(fingerprint: Long, upstream: String) = crash(fingerprint, upstream)
-
     /** News for entries of the own zone since the last call. */
     fun takeNear(): List<UpstreamLoad> = near.take()
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
@@ -77,13 +77,12 @@
         @SerialName("r") val rows: List<PeerStateRow>,
     ) : PeerMessage
 
-    /** [upstream] was lost while it ran a request with [fingerprint]. */
+    /** Requests under which upstreams ended, or seem to have. */
     @Serializable
-    @SerialName("c")
+    @SerialName("k")
     data class CrashNews(
         @SerialName("f") override val from: String,
-        val fingerprint: Long,
-        val upstream: String,
+        @SerialName("s") val suspects: List<CrashSuspectNews>,
     ) : PeerMessage
 }
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/Peers.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/Peers.kt
@@ -1,7 +1,7 @@
 package io.poplarwood.gateway.peer
 
 import io.poplarwood.api.time.Ticker
-import io.poplarwood.gateway.decision.CrashSuspects
+import io.poplarwood.gateway.decision.crash.CrashSuspects
 import io.poplarwood.gateway.log.EventLog
 import io.poplarwood.gateway.log.GatewayEvent
 import io.poplarwood.gateway.store.FollowPace
@@ -26,7 +26,7 @@
     private val table: PeerTable,
     private val roles: ActiveSet,
     private val book: StateBook,
-    private val crashes: CrashSuspects,
+    crashes: CrashSuspects,
     private val ticker: Ticker,
     private val log: EventLog,
     private val pump: () -> Unit,
@@ -34,6 +34,9 @@
     private val began = ticker.now()
     private val audience = GreetingPlan(record.zone, table, roles)
 
+    /** What entries tell each other of requests under which upstreams ended. */
+    val crashes = CrashExchange(self, crashes, table, ticker, log, send)
+
     /** Whether this entry takes requests, as peers are told. */
     var serving: Boolean = false
 
@@ -130,22 +133,6 @@
         send(PeerMessage.LoadNews(self, news), taking.map { it.record.peers })
     }
 
-    /** Sends news of a lost upstream. */
-    fun sendCrash(fingerprint: Long, upstream: String) {
-        logCrash(fingerprint, upstream, self)
-        send(PeerMessage.CrashNews(self, fingerprint, upstream), table.live.map { it.record.peers })
-    }
-
-    private fun crashTold(news: PeerMessage.CrashNews) {
-        val fresh = crashes.lost(news.fingerprint, news.upstream, ticker.now())
-        if (fresh) logCrash(news.fingerprint, news.upstream, news.from)
-    }
-
-    private fun logCrash(fingerprint: Long, upstream: String, source: String) {
-        val losses = crashes.losses(fingerprint)
-        log.log(GatewayEvent.CRASH_SUSPECT, java.lang.Long.toHexString(fingerprint), upstream, losses, source)
-    }
-
     override fun pace(): FollowPace {
         if (stopping) return FollowPace.NONE
         return choice.pace(table.live, roles.active, storeAnswers, ticker.now() - book.confirmedAt)
@@ -170,7 +157,7 @@
             is PeerMessage.Hello -> heard(message)
             is PeerMessage.LoadNews -> loads.receive(message.from, message.load, whole = false)
             is PeerMessage.UpstreamNews -> upstreamsChanged(message)
-            is PeerMessage.CrashNews -> crashTold(message)
+            is PeerMessage.CrashNews -> crashes.receive(message)
         }
         if (message !is PeerMessage.CrashNews) pump()
     }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Attempt.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Attempt.kt
@@ -13,6 +13,9 @@
     var result: AttemptResult? = null
     var endedAt: Duration? = null
 
+    /** When it was sent or, if that is later, when another attempt of its request was lost. */
+    var since: Duration = sentAt
+
     /** Requests that the upstream held when this one was sent, with this one. */
     val heldAtStart: Int = row.inFlight
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Decisions.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Decisions.kt
@@ -1,7 +1,6 @@
 package io.poplarwood.gateway.runtime
 
 import io.poplarwood.api.id.ServiceName
-import io.poplarwood.gateway.decision.CrashSuspects
 import io.poplarwood.gateway.decision.Placement
 import io.poplarwood.gateway.decision.RepeatBudget
 import io.poplarwood.gateway.decision.SecondAttempt
@@ -9,6 +8,7 @@
 import io.poplarwood.gateway.decision.SlotRequest
 import io.poplarwood.gateway.decision.Suspicion
 import io.poplarwood.gateway.decision.WorkTimes
+import io.poplarwood.gateway.decision.crash.CrashSuspects
 import io.poplarwood.gateway.route.SplitPicker
 import io.poplarwood.gateway.upstream.UpstreamTable
 import kotlin.time.Duration
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -101,7 +101,6 @@
         ticker,
         { after(NEAR_NEWS) { peers.sendLoads(loads.takeNear(), near = true) } },
         { after(FAR_NEWS) { peers.sendLoads(loads.takeFar(), near = false) } },
-        peers::sendCrash,
     ).also { peers.loads = it }
     private val prober = LoadProber(
         upstreams,
@@ -116,7 +115,9 @@
     )
     private val sync = PeerSync(::askPeer, peerTable, book, settings.zone, scope).also { peers.askPeers = it::lookSoon }
     private val register = EntryRegister(store, settings.entry, record, peerTable, ticker, log)
-    private val lessons = Lessons(decisions, loads, log)
+    private val check = UpstreamCheck(links::reaches, upstreams, ticker, scope)
+    private val crashWatch = CrashWatch(decisions.crashes, check, random, ticker, scope, peers.crashes::tell)
+    private val lessons = Lessons(decisions, loads, crashWatch, log)
     private val requestLog = RequestLog(log, metrics, ticker)
     private val flow = RequestFlow(book, decisions, links, loads, ticker, metrics, lessons, requestLog, log)
     private val directory =
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Lessons.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Lessons.kt
@@ -15,6 +15,7 @@
 internal class Lessons(
     private val decisions: Decisions,
     private val loads: LoadBoard,
+    private val crashes: CrashWatch,
     private val log: EventLog,
 ) {
     /** Takes over the end of [attempt] of a request with [fingerprint]. */
@@ -27,14 +28,21 @@
             is AttemptResult.NotExecuted -> notExecuted(row, result, now)
             is AttemptResult.Lost -> {
                 decisions.suspicion.lost(row, now)
-                if (result.cause == LossCause.CONNECTION_LOST) crashed(row, fingerprint, now)
+                if (result.cause != LossCause.GARBLED) crashes.lost(row, fingerprint, attempt.since, now)
+            }
+            AttemptResult.NotSent -> {
+                decisions.suspicion.lost(row, now)
+                crashes.unreachable(row, now)
             }
-            AttemptResult.NotSent -> decisions.suspicion.lost(row, now)
             null -> Unit
         }
         tell(row, resting, now)
     }
 
+    /** Takes over that a request with [fingerprint] ended without an answer while [attempt] was running. */
+    fun abandoned(attempt: Attempt, fingerprint: Long, now: Duration) =
+        crashes.abandoned(attempt.row, fingerprint, attempt.since, now)
+
     private fun answered(
         attempt: Attempt,
         result: AttemptResult.Answered,
@@ -44,7 +52,11 @@
     ) {
         reported(attempt.row, result.load, now)
         val cleared = decisions.crashes.answered(fingerprint)
-        if (cleared > 0) log.log(GatewayEvent.CRASH_CLEARED, java.lang.Long.toHexString(fingerprint), result.status, cleared)
+        if (cleared >
+            0
+        ) {
+            log.log(GatewayEvent.CRASH_CLEARED, java.lang.Long.toHexString(fingerprint), result.status, cleared)
+        }
         if (result.status >= FIRST_SERVER_ERROR) {
             decisions.suspicion.failed(attempt.row)
         } else {
@@ -76,10 +88,6 @@
         decisions.placement.crowding.note(row.record.service, held, row.record.slots, ratio)
     }
 
-    private fun crashed(row: UpstreamRow, fingerprint: Long, now: Duration) {
-        if (decisions.crashes.lost(fingerprint, row.id, now)) loads.crashed(fingerprint, row.id)
-    }
-
     private fun tell(row: UpstreamRow, resting: Duration, now: Duration) {
         val rests = row.restUntil > now
         when {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestFlow.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestFlow.kt
@@ -1,6 +1,7 @@
 package io.poplarwood.gateway.runtime
 
 import io.poplarwood.api.time.Ticker
+import io.poplarwood.gateway.decision.crash.CrashVerdict
 import io.poplarwood.gateway.http.Answer
 import io.poplarwood.gateway.http.CallerRequest
 import io.poplarwood.gateway.http.UpstreamLinks
@@ -83,7 +84,11 @@
         report.fingerprint = request.fingerprint
         val now = ticker.now()
         decisions.budget.request(service, now)
-        if (decisions.crashes.refuses(request.fingerprint, now)) return refuse(report, Outcome.CRASHES, CRASH_PAUSE)
+        when (decisions.crashes.verdict(request.fingerprint, now)) {
+            CrashVerdict.ADMITTED -> Unit
+            CrashVerdict.HELD -> return refuse(report, Outcome.CRASHES, CRASH_CHECK)
+            CrashVerdict.REFUSED -> return refuse(report, Outcome.CRASHES, CRASH_PAUSE)
+        }
         val run = RequestRun(this, request, route, service, report)
         runs += run
         try {
@@ -108,6 +113,9 @@
         private val ELSEWHERE = 10.milliseconds
         private val CRASH_PAUSE = 10_000.milliseconds
 
+        /** By then it is known whether upstreams have ended. */
+        private val CRASH_CHECK = 400.milliseconds
+
         /** An answer of the entry itself. */
         fun refusal(outcome: Outcome, retryAfter: Duration? = null, close: Boolean = false): Answer {
             val body = "{\"outcome\":\"${outcome.label}\"}".encodeToByteArray()
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
@@ -50,6 +50,10 @@
     private var unsent = 0
     private var mayHaveRun = false
     private var ending = false
+    private var answered = false
+
+    /** When an attempt was lost last. */
+    private var lostAt = -Duration.INFINITE
     private var failure: AttemptResult.Answered? = null
 
     /** Ends the request now with what is known of it. */
@@ -61,12 +65,23 @@
     /** Runs the request to its end. */
     suspend fun run(): RequestEnd = coroutineScope {
         try {
-            firstAttempt() ?: attempts()
+            (firstAttempt() ?: attempts()).also { answered = it.outcome == Outcome.ANSWERED }
         } finally {
             coroutineContext.cancelChildren()
         }
     }
 
+    private fun abandon(attempt: Attempt) {
+        val now = ticker.now()
+        noteLost(attempt, now)
+        flow.lessons.abandoned(attempt, request.fingerprint, now)
+    }
+
+    private fun noteLost(attempt: Attempt, now: Duration) {
+        attempt.since = maxOf(attempt.sentAt, lostAt)
+        lostAt = now
+    }
+
     /** Starts the first attempt; the end of the request when there is none to make. */
     private suspend fun CoroutineScope.firstAttempt(): RequestEnd? {
         val decision = withTimeoutOrNull(deadline - ticker.now()) { place() }
@@ -191,8 +206,10 @@
             } finally {
                 running -= attempt
                 release(row)
+                if (attempt.result == null && !answered) abandon(attempt)
             }
             attempt.endedAt = ticker.now()
+            if (attempt.result is AttemptResult.Lost) noteLost(attempt, ticker.now())
             flow.lessons.learn(attempt, route, request.fingerprint)
             finished.addLast(attempt)
             signal.trySend(Unit)
--- /dev/null
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/decision/crash/CrashSuspectsSpec.kt
@@ -0,0 +1,76 @@
+package io.poplarwood.gateway.decision.crash
+
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class CrashSuspectsSpec {
+    private val suspects = CrashSuspects()
+
+    /** A loss that took a millisecond. */
+    private fun lost(id: Int, at: Duration, confirmed: Boolean = true, since: Duration = at - 1.milliseconds) =
+        suspects.lost(7, CrashLoss(id.toLong(), "u$id", since, at, confirmed), at)
+
+    @Nested
+    inner class `a request under which upstreams ended` {
+        /** Guards against a request that goes on crashing upstreams. */
+        @Test
+        fun `is refused after three in a row`() {
+            lost(1, 1.seconds)
+            lost(2, 2.seconds)
+            assertEquals(CrashVerdict.ADMITTED, suspects.verdict(7, 3.seconds))
+            lost(3, 3.seconds)
+            assertEquals(CrashVerdict.REFUSED, suspects.verdict(7, 4.seconds))
+            assertEquals(CrashVerdict.ADMITTED, suspects.verdict(8, 4.seconds))
+        }
+
+        /** Guards against news of one loss that several entries tell. */
+        @Test
+        fun `is not refused for one loss that is told again`() {
+            repeat(5) { lost(1, 1.seconds) }
+            assertEquals(CrashVerdict.ADMITTED, suspects.verdict(7, 2.seconds))
+        }
+
+        @Test
+        fun `is forgotten after a minute`() {
+            for (i in 1..3) lost(i, i.seconds)
+            assertEquals(CrashVerdict.ADMITTED, suspects.verdict(7, 70.seconds))
+        }
+    }
+
+    @Nested
+    inner class `a common request` {
+        /** Guards against a common request that is condemned because upstreams crashed beside it. */
+        @Test
+        fun `is cleared by an answer`() {
+            for (i in 1..3) lost(i, i.seconds)
+            suspects.answered(7)
+            assertEquals(CrashVerdict.ADMITTED, suspects.verdict(7, 4.seconds))
+        }
+
+        /** Guards against a common request that is condemned because a rack of upstreams ended. */
+        @Test
+        fun `is not refused because many upstreams ended at one moment while they ran it`() {
+            for (i in 1..9) lost(i, 1.seconds + i.milliseconds, since = 900.milliseconds)
+            assertEquals(CrashVerdict.ADMITTED, suspects.verdict(7, 2.seconds))
+        }
+
+        /** Guards against a common request that is refused for long because connections broke. */
+        @Test
+        fun `is held for a moment while it is not known whether upstreams ended`() {
+            for (i in 1..3) lost(i, i.milliseconds * 10, confirmed = false)
+            assertEquals(CrashVerdict.HELD, suspects.verdict(7, 100.milliseconds))
+            assertEquals(CrashVerdict.ADMITTED, suspects.verdict(7, 1_100.milliseconds))
+        }
+
+        @Test
+        fun `is admitted again once an upstream is known to live`() {
+            for (i in 1..3) lost(i, i.milliseconds * 10, confirmed = false)
+            suspects.withdraw(7, 2)
+            assertEquals(CrashVerdict.ADMITTED, suspects.verdict(7, 100.milliseconds))
+        }
+    }
+}
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/EntryCell.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/EntryCell.kt
@@ -4,7 +4,7 @@
 import com.github.michaelbull.result.Result
 import io.poplarwood.api.random.SplitMix
 import io.poplarwood.api.time.Ticker
-import io.poplarwood.gateway.decision.CrashSuspects
+import io.poplarwood.gateway.decision.crash.CrashSuspects
 import io.poplarwood.gateway.directory.OwnEntry
 import io.poplarwood.gateway.log.EventLog
 import io.poplarwood.gateway.route.CallerLimits
@@ -108,7 +108,7 @@
 
         init {
             peers.askPeers = sync::lookSoon
-            peers.loads = LoadBoard(upstreams, ticker, {}, {}, { _, _ -> })
+            peers.loads = LoadBoard(upstreams, ticker, {}, {})
         }
 
         /** Whether work may go to [upstream]. */
