Let only an answer that did not fail clear a request of the losses under it

An upstream that fails its requests may not have run it. Answers below 500 clear, as before.

CrashingRequestSpec, half of the upstreams answering 500, before: 5 upstreams had ended after eight calls and 12 after sixteen.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Lessons.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Lessons.kt
@@ -51,20 +51,21 @@
         now: Duration,
     ) {
         reported(attempt.row, result.load, now)
-        val cleared = decisions.crashes.answered(fingerprint)
-        if (cleared >
-            0
-        ) {
-            log.log(GatewayEvent.CRASH_CLEARED, java.lang.Long.toHexString(fingerprint), result.status, cleared)
-        }
         if (result.status >= FIRST_SERVER_ERROR) {
             decisions.suspicion.failed(attempt.row)
         } else {
+            clear(fingerprint, result.status)
             decisions.suspicion.answered(attempt.row, now)
             worked(attempt, route, now, attempt.row.slownessNear(attempt.sentAt) ?: result.load?.slowness ?: 1.0)
         }
     }
 
+    /** Only an answer that did not fail says that the request ends no upstream: a failing one may not have run it. */
+    private fun clear(fingerprint: Long, status: Int) {
+        val losses = decisions.crashes.answered(fingerprint)
+        if (losses > 0) log.log(GatewayEvent.CRASH_CLEARED, java.lang.Long.toHexString(fingerprint), status, losses)
+    }
+
     private fun notExecuted(row: UpstreamRow, result: AttemptResult.NotExecuted, now: Duration) {
         reported(row, result.load, now)
         if (result.cause == NotExecutedCause.OTHER_UPSTREAM) {
