Keep a request refused for as long as it comes, not for a minute

Each loss was dropped a minute after it happened, so a request that goes on coming ended one more upstream a minute; when the table was full the oldest request was dropped first, refused or not. Now it is forgotten ten minutes after it came last, and refused ones leave a full table last.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/CrashSuspects.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/CrashSuspects.kt
@@ -1,6 +1,7 @@
 package io.poplarwood.gateway.decision.crash
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -13,6 +14,7 @@
  */
 internal class CrashSuspects {
     private val rows = LinkedHashMap<Long, CrashRow>()
+    private var expireAt = -Duration.INFINITE
 
     /** Takes in [loss] of a request with [fingerprint]; false when it says nothing new. */
     fun lost(fingerprint: Long, loss: CrashLoss, now: Duration): Boolean {
@@ -21,7 +23,8 @@
         if (known != null && (known.confirmed || !loss.confirmed)) return false
         row.losses[loss.id] = loss
         row.touchedAt = maxOf(row.touchedAt, now)
-        if (rows.size > MAX_FINGERPRINTS) rows.remove(rows.keys.first())
+        expire(now)
+        if (rows.size > MAX_FINGERPRINTS) evict(now)
         return true
     }
 
@@ -40,25 +43,44 @@
 
     /** Whether a request with [fingerprint] may be sent. */
     fun verdict(fingerprint: Long, now: Duration): CrashVerdict {
+        expire(now)
         val row = rows[fingerprint] ?: return CrashVerdict.ADMITTED
-        row.losses.values.removeIf { now - it.at > if (it.confirmed) EXPIRY else UNCONFIRMED }
-        if (row.losses.isEmpty()) rows.remove(fingerprint)
-        return when {
-            row.inARow { it.confirmed } >= LIMIT -> CrashVerdict.REFUSED
-            row.inARow { true } >= LIMIT -> CrashVerdict.HELD
-            else -> CrashVerdict.ADMITTED
-        }
+        val verdict = row.verdict(now)
+        if (verdict == CrashVerdict.REFUSED) row.touchedAt = now
+        return verdict
+    }
+
+    private fun CrashRow.verdict(now: Duration) = when {
+        inARow { it.confirmed } >= LIMIT -> CrashVerdict.REFUSED
+        inARow { it.confirmed || now - it.at <= UNCONFIRMED } >= LIMIT -> CrashVerdict.HELD
+        else -> CrashVerdict.ADMITTED
+    }
+
+    private fun expire(now: Duration) {
+        if (rows.isEmpty() || now < expireAt) return
+        expireAt = now + EXPIRE_EVERY
+        for (row in rows.values) row.losses.values.removeIf { !it.confirmed && now - it.at > UNCONFIRMED }
+        rows.values.removeIf { it.losses.isEmpty() || now - it.touchedAt > EXPIRY }
+    }
+
+    /** Makes room: requests that are not refused go first, and of each sort the one that came last the longest ago. */
+    private fun evict(now: Duration) {
+        val oldest = rows.entries.minWith(
+            compareBy({ it.value.verdict(now) == CrashVerdict.REFUSED }, { it.value.touchedAt }),
+        )
+        rows.remove(oldest.key)
     }
 
     companion object {
         /** Upstreams that end in a row before a request is refused. */
         const val LIMIT: Int = 3
 
-        /** Time for which a refused request stays refused. */
-        val EXPIRY: Duration = 60.seconds
+        /** A request that has not come for this long is forgotten. */
+        val EXPIRY: Duration = 10.minutes
 
         /** Time within which it is known whether an upstream has ended. */
         val UNCONFIRMED: Duration = 1.seconds
-        private const val MAX_FINGERPRINTS = 10_000
+        private val EXPIRE_EVERY = 1.seconds
+        private const val MAX_FINGERPRINTS = 1_000
     }
 }
