Look at the losses under a request each time it is sent

A request was admitted or refused once, as it arrived. What waited for a slot, was repeated or got a second attempt was sent on though three upstreams were known to have ended under it (trail: lost=3). Now the losses are looked at before each attempt.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestFlow.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestFlow.kt
@@ -84,11 +84,8 @@
         report.fingerprint = request.fingerprint
         val now = ticker.now()
         decisions.budget.request(service, now)
-        when (decisions.crashes.verdict(request.fingerprint, now)) {
-            CrashVerdict.ADMITTED -> Unit
-            CrashVerdict.HELD -> return refuse(report, Outcome.CRASHES, CRASH_CHECK)
-            CrashVerdict.REFUSED -> return refuse(report, Outcome.CRASHES, CRASH_PAUSE)
-        }
+        val verdict = decisions.crashes.verdict(request.fingerprint, now)
+        if (verdict != CrashVerdict.ADMITTED) return refuse(report, Outcome.CRASHES, pauseAfter(verdict))
         val run = RequestRun(this, request, route, service, report)
         runs += run
         try {
@@ -116,6 +113,10 @@
         /** By then it is known whether upstreams have ended. */
         private val CRASH_CHECK = 400.milliseconds
 
+        /** When a request that is not sent because of [verdict] may come again. */
+        fun pauseAfter(verdict: CrashVerdict): Duration =
+            if (verdict == CrashVerdict.REFUSED) CRASH_PAUSE else CRASH_CHECK
+
         /** An answer of the entry itself. */
         fun refusal(outcome: Outcome, retryAfter: Duration? = null, close: Boolean = false): Answer {
             val body = "{\"outcome\":\"${outcome.label}\"}".encodeToByteArray()
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
@@ -4,6 +4,7 @@
 import io.poplarwood.gateway.decision.Job
 import io.poplarwood.gateway.decision.SlotDecision
 import io.poplarwood.gateway.decision.SlotRequest
+import io.poplarwood.gateway.decision.crash.CrashVerdict
 import io.poplarwood.gateway.http.Answer
 import io.poplarwood.gateway.http.AttemptResult
 import io.poplarwood.gateway.http.CallerRequest
@@ -90,13 +91,23 @@
             null -> refuse(Outcome.EXPIRED, RETRY_SOON)
             is SlotDecision.Full -> refuse(Outcome.FULL, decision.retryAfter)
             SlotDecision.NoUpstream -> refuse(Outcome.NO_UPSTREAM, RETRY_NO_UPSTREAM)
-            is SlotDecision.Granted -> {
-                start(decision.row)
-                null
-            }
+            is SlotDecision.Granted -> startOrRefuse(decision.row)
+        }
+    }
+
+    /** Upstreams may have ended under equal requests while this one waited. */
+    private fun CoroutineScope.startOrRefuse(row: UpstreamRow): RequestEnd? {
+        val verdict = crashVerdict()
+        if (verdict != CrashVerdict.ADMITTED) {
+            release(row)
+            return refuse(Outcome.CRASHES, RequestFlow.pauseAfter(verdict))
         }
+        start(row)
+        return null
     }
 
+    private fun crashVerdict() = decisions.crashes.verdict(request.fingerprint, ticker.now())
+
     private suspend fun CoroutineScope.attempts(): RequestEnd {
         while (true) {
             val attempt = finished.removeFirstOrNull()
@@ -148,12 +159,17 @@
         val now = ticker.now()
         if (!free && !decisions.budget.take(service, now)) return null
         val decision = withTimeoutOrNull(deadline - now) { place() } as? SlotDecision.Granted ?: return null
+        if (crashVerdict() != CrashVerdict.ADMITTED) {
+            release(decision.row)
+            return null
+        }
         flow.metrics.repeated(reason)
         start(decision.row)
         return null
     }
 
-    private fun mayAttempt() = sent < route.maxAttempts && unsent < MAX_UNSENT && ticker.now() < deadline
+    private fun mayAttempt() = sent < route.maxAttempts && unsent < MAX_UNSENT && ticker.now() < deadline &&
+        crashVerdict() == CrashVerdict.ADMITTED
 
     private inline fun ifNothingRuns(end: () -> RequestEnd): RequestEnd? =
         if (running.isEmpty() && finished.isEmpty()) end() else null
