Keep entries in step about requests under which upstreams ended

Callers saw a request that had ended three upstreams sent on by an entry that started later: each loss was told once, to the entries heard at that moment. Greetings now carry a number that follows from what an entry knows; who is greeted with another number sends what it knows, losses and clearings alike. Only requests under which two upstreams or more have ended are kept in step, so most broken connections cost no greeting anything.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/CrashRow.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/CrashRow.kt
@@ -1,19 +1,49 @@
 package io.poplarwood.gateway.decision.crash
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
 
 /** Losses under requests with one fingerprint. */
 internal class CrashRow {
     val losses = LinkedHashMap<Long, CrashLoss>()
 
-    /** When such a request last lost an upstream or came again. */
-    var touchedAt: Duration = -Duration.INFINITE
+    /** When such a request last lost an upstream or came to be refused. */
+    var seenAt: Duration = -Duration.INFINITE
+
+    /** Losses up to then were cleared by an answer. */
+    var clearedAt: Duration = -Duration.INFINITE
+
+    /** Whether it was told that such requests are refused. */
+    var refusalTold = false
+
+    /** Whether enough upstreams are known to have ended. */
+    val refused: Boolean get() = inARow { it.confirmed } >= CrashSuspects.LIMIT
+
+    /** Whether other entries are kept in step with it. */
+    val shared: Boolean get() = inARow { it.confirmed } >= SHARED_FROM
+
+    /** Whether a request may be sent. */
+    fun verdict(now: Duration): CrashVerdict = when {
+        refused -> CrashVerdict.REFUSED
+        inARow { it.confirmed || now - it.at <= UNCONFIRMED } >= CrashSuspects.LIMIT -> CrashVerdict.HELD
+        else -> CrashVerdict.ADMITTED
+    }
+
+    /** Whether it says nothing any more. */
+    fun isSpent(now: Duration): Boolean {
+        losses.values.removeIf { !it.confirmed && now - it.at > UNCONFIRMED }
+        return now - seenAt > CrashSuspects.EXPIRY || (losses.isEmpty() && now - clearedAt > CLEARED_KEPT)
+    }
+
+    /** A number that follows from what other entries should know. */
+    fun digest(): Long = if (refused) 1 else losses.values.filter { it.confirmed }.sumOf { it.id }
 
     /**
      * Losses in a row among those that [counts] picks, each at an attempt that followed the loss before. Upstreams that
      * end at one moment while they run equal requests count as one: what ended them may be something else.
      */
-    inline fun inARow(counts: (CrashLoss) -> Boolean): Int {
+    private inline fun inARow(counts: (CrashLoss) -> Boolean): Int {
         var last = -Duration.INFINITE
         var count = 0
         for (loss in losses.values.filter(counts).sortedBy { it.at }) {
@@ -23,4 +53,14 @@
         }
         return count
     }
+
+    private companion object {
+        const val SHARED_FROM = 2
+
+        /** Time within which it is known whether an upstream has ended. */
+        val UNCONFIRMED = 1.seconds
+
+        /** Other entries may tell of losses that were cleared for this long. */
+        val CLEARED_KEPT = 1.minutes
+    }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/CrashSuspects.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/CrashSuspects.kt
@@ -16,57 +16,80 @@
     private val rows = LinkedHashMap<Long, CrashRow>()
     private var expireAt = -Duration.INFINITE
 
-    /** Takes in [loss] of a request with [fingerprint]; false when it says nothing new. */
-    fun lost(fingerprint: Long, loss: CrashLoss, now: Duration): Boolean {
+    /**
+     * Takes in [loss] of a request with [fingerprint] that came last at [seenAt]; false when that says nothing new.
+     */
+    fun lost(fingerprint: Long, loss: CrashLoss, seenAt: Duration): Boolean {
         val row = rows.getOrPut(fingerprint) { CrashRow() }
+        row.seenAt = maxOf(row.seenAt, seenAt)
         val known = row.losses[loss.id]
-        if (known != null && (known.confirmed || !loss.confirmed)) return false
+        if (loss.at <= row.clearedAt || (known != null && (known.confirmed || !loss.confirmed))) return false
         row.losses[loss.id] = loss
-        row.touchedAt = maxOf(row.touchedAt, now)
-        expire(now)
-        if (rows.size > MAX_FINGERPRINTS) evict(now)
+        if (rows.size > MAX_FINGERPRINTS) evict(seenAt)
         return true
     }
 
     /** Drops the loss [id]: the upstream lives. */
     fun withdraw(fingerprint: Long, id: Long) {
-        val row = rows[fingerprint] ?: return
-        row.losses.remove(id)
-        if (row.losses.isEmpty()) rows.remove(fingerprint)
+        rows[fingerprint]?.losses?.remove(id)
     }
 
-    /** Notes that a request with [fingerprint] was answered; returns the losses that this clears. */
-    fun answered(fingerprint: Long): Int = if (rows.isEmpty()) 0 else rows.remove(fingerprint)?.losses?.size ?: 0
+    /**
+     * Notes that a request with [fingerprint] was answered at [at]; returns the losses that this clears. It is kept in
+     * mind for a while, since other entries may still tell of them.
+     */
+    fun answered(fingerprint: Long, at: Duration): Int {
+        val row = (if (rows.isEmpty()) null else rows[fingerprint]) ?: return 0
+        val before = row.losses.size
+        if (row.shared) row.clearedAt = maxOf(row.clearedAt, at)
+        row.losses.values.removeIf { it.at <= at }
+        return before - row.losses.size
+    }
 
     /** Upstreams that seem to have ended under [fingerprint]. */
     fun losses(fingerprint: Long): Int = rows[fingerprint]?.losses?.size ?: 0
 
-    /** Whether a request with [fingerprint] may be sent. */
+    /** Whether a request with [fingerprint], which has come at [now], may be sent. */
     fun verdict(fingerprint: Long, now: Duration): CrashVerdict {
         expire(now)
         val row = rows[fingerprint] ?: return CrashVerdict.ADMITTED
         val verdict = row.verdict(now)
-        if (verdict == CrashVerdict.REFUSED) row.touchedAt = now
+        if (verdict == CrashVerdict.REFUSED) row.seenAt = maxOf(row.seenAt, now)
         return verdict
     }
 
-    private fun CrashRow.verdict(now: Duration) = when {
-        inARow { it.confirmed } >= LIMIT -> CrashVerdict.REFUSED
-        inARow { it.confirmed || now - it.at <= UNCONFIRMED } >= LIMIT -> CrashVerdict.HELD
-        else -> CrashVerdict.ADMITTED
+    /** Whether requests with [fingerprint] have come to be refused since this was last asked. */
+    fun becameRefused(fingerprint: Long): Boolean {
+        val row = rows[fingerprint] ?: return false
+        if (row.refusalTold || !row.refused) return false
+        row.refusalTold = true
+        return true
+    }
+
+    /** What every entry should know, by fingerprint; a single loss is told once and not kept in step. */
+    fun shared(now: Duration): Map<Long, CrashRow> {
+        expire(now)
+        return rows.filterValues { it.shared || it.clearedAt > -Duration.INFINITE }
+    }
+
+    /** A number that is the same at entries that know the same; 0 when there is nothing to know. */
+    fun digest(now: Duration): Long {
+        expire(now)
+        var sum = 0L
+        for ((fingerprint, row) in rows) if (row.shared) sum += fingerprint * row.digest()
+        return sum
     }
 
     private fun expire(now: Duration) {
         if (rows.isEmpty() || now < expireAt) return
         expireAt = now + EXPIRE_EVERY
-        for (row in rows.values) row.losses.values.removeIf { !it.confirmed && now - it.at > UNCONFIRMED }
-        rows.values.removeIf { it.losses.isEmpty() || now - it.touchedAt > EXPIRY }
+        rows.values.removeIf { it.isSpent(now) }
     }
 
     /** Makes room: requests that are not refused go first, and of each sort the one that came last the longest ago. */
     private fun evict(now: Duration) {
         val oldest = rows.entries.minWith(
-            compareBy({ it.value.verdict(now) == CrashVerdict.REFUSED }, { it.value.touchedAt }),
+            compareBy({ it.value.verdict(now) == CrashVerdict.REFUSED }, { it.value.seenAt }),
         )
         rows.remove(oldest.key)
     }
@@ -77,9 +100,6 @@
 
         /** A request that has not come for this long is forgotten. */
         val EXPIRY: Duration = 10.minutes
-
-        /** Time within which it is known whether an upstream has ended. */
-        val UNCONFIRMED: Duration = 1.seconds
         private val EXPIRE_EVERY = 1.seconds
         private const val MAX_FINGERPRINTS = 1_000
     }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
@@ -70,6 +70,7 @@
         "status",
         "losses",
     ),
+    CRASH_REFUSED(6208, Level.WARN, "a request is refused: upstreams ended under it", "fingerprint", "losses"),
     PEER_SEEN(6401, Level.INFO, "another entry was heard", "peer", "address"),
     PEER_SILENT(6402, Level.WARN, "another entry is silent", "peer", "silentMs"),
     PEER_LEAVING(6403, Level.INFO, "another entry is stopping", "peer"),
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/CrashExchange.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/CrashExchange.kt
@@ -2,14 +2,19 @@
 
 import io.poplarwood.api.time.Ticker
 import io.poplarwood.gateway.decision.crash.CrashLoss
+import io.poplarwood.gateway.decision.crash.CrashRow
 import io.poplarwood.gateway.decision.crash.CrashSuspects
 import io.poplarwood.gateway.log.EventLog
 import io.poplarwood.gateway.log.GatewayEvent
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Tells other entries of requests under which upstreams ended, and takes in what they tell.
  *
+ * A loss is told at once. Since that news may be lost, and entries start later, greetings carry [digest]: an entry that
+ * is greeted with another one than its own sends what it knows.
+ *
  * @param send sends a message to each of the given `ip:port`; any may be lost
  */
 internal class CrashExchange(
@@ -20,37 +25,67 @@
     private val log: EventLog,
     private val send: (PeerMessage, List<String>) -> Unit,
 ) {
+    /** A number that follows from what this entry knows. */
+    val digest: Long get() = crashes.digest(ticker.now())
+
     /** Tells all entries of [loss] under requests with [fingerprint]. */
     fun tell(fingerprint: Long, loss: CrashLoss) {
         log(fingerprint, loss, self)
-        val news = CrashSuspectNews(fingerprint, listOf(newsOf(loss)))
+        val news = CrashSuspectNews(fingerprint, listOf(newsOf(loss, ticker.now())))
         send(PeerMessage.CrashNews(self, listOf(news)), table.live.map { it.record.peers })
     }
 
-    /** Takes in what another entry told. */
-    fun receive(news: PeerMessage.CrashNews) {
-        for (suspect in news.suspects) {
-            for (told in suspect.losses) {
-                val loss = lossOf(told)
-                if (crashes.lost(suspect.fingerprint, loss, ticker.now())) log(suspect.fingerprint, loss, news.from)
-            }
+    /** Sends the entry at [peer] all that it should know, if its [digest] says that it knows something else. */
+    fun compare(digest: Long, peer: String) {
+        if (digest == this.digest) return
+        val now = ticker.now()
+        val rows = crashes.shared(now).entries.sortedByDescending { it.value.seenAt }.take(MOST_AT_ONCE)
+        for ((fingerprint, row) in rows) {
+            send(PeerMessage.CrashNews(self, listOf(newsOf(fingerprint, row, now))), listOf(peer))
         }
     }
 
-    private fun newsOf(loss: CrashLoss): CrashLossNews {
+    /** Takes in what another entry told. */
+    fun receive(news: PeerMessage.CrashNews) = news.suspects.forEach { take(it, news.from) }
+
+    private fun take(suspect: CrashSuspectNews, from: String) {
         val now = ticker.now()
+        suspect.clearedMs?.let { crashes.answered(suspect.fingerprint, now - it.milliseconds) }
+        for (told in suspect.losses) {
+            val loss = lossOf(told, now)
+            val fresh = crashes.lost(suspect.fingerprint, loss, now - suspect.seenMs.milliseconds)
+            if (fresh) log(suspect.fingerprint, loss, from)
+        }
+    }
+
+    private fun newsOf(fingerprint: Long, row: CrashRow, now: Duration): CrashSuspectNews {
+        val losses = row.losses.values.filter { it.confirmed }.take(MOST_LOSSES).map { newsOf(it, now) }
+        val cleared = if (row.clearedAt.isInfinite()) null else (now - row.clearedAt).inWholeMilliseconds
+        return CrashSuspectNews(fingerprint, losses, (now - row.seenAt).inWholeMilliseconds, cleared)
+    }
+
+    private fun newsOf(loss: CrashLoss, now: Duration): CrashLossNews {
         val since = (now - loss.since).inWholeMilliseconds
         return CrashLossNews(loss.id, loss.upstream, since, (now - loss.at).inWholeMilliseconds, loss.confirmed)
     }
 
-    private fun lossOf(news: CrashLossNews): CrashLoss {
-        val now = ticker.now()
+    private fun lossOf(news: CrashLossNews, now: Duration): CrashLoss {
         val since = now - news.sinceMs.milliseconds
         return CrashLoss(news.id, news.upstream, since, now - news.agoMs.milliseconds, news.confirmed)
     }
 
     private fun log(fingerprint: Long, loss: CrashLoss, source: String) {
         val hex = java.lang.Long.toHexString(fingerprint)
-        log.log(GatewayEvent.CRASH_SUSPECT, hex, loss.upstream, loss.confirmed, crashes.losses(fingerprint), source)
+        val losses = crashes.losses(fingerprint)
+        log.log(GatewayEvent.CRASH_SUSPECT, hex, loss.upstream, loss.confirmed, losses, source)
+        if (crashes.becameRefused(fingerprint)) log.log(GatewayEvent.CRASH_REFUSED, hex, losses)
+    }
+
+    private companion object {
+        /** What follows comes with a later greeting. */
+        const val MOST_AT_ONCE = 8
+
+        /** A datagram holds these; any three in a row are enough to refuse a request. */
+        const val MOST_LOSSES = 8
     }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/CrashSuspectNews.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/CrashSuspectNews.kt
@@ -3,11 +3,19 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
-/** What one entry tells another of requests with one fingerprint. */
+/**
+ * What one entry tells another of requests with one fingerprint.
+ *
+ * @property losses upstreams that ended, or seem to have, under such requests
+ * @property seenMs time since one came last, in milliseconds
+ * @property clearedMs time since an answer cleared earlier losses, in milliseconds; null when none did
+ */
 @Serializable
 internal data class CrashSuspectNews(
     @SerialName("f") val fingerprint: Long,
     @SerialName("l") val losses: List<CrashLossNews>,
+    @SerialName("n") val seenMs: Long = 0,
+    @SerialName("x") val clearedMs: Long? = null,
 )
 
 /**
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
@@ -31,6 +31,7 @@
      * @property active it takes callers of its zone
      * @property zoneActive names of all entries that take callers of its zone, the lead first
      * @property everyMs time to its next hello to the receiver, in milliseconds
+     * @property crashes follows from what it knows of requests under which upstreams ended
      * @property load requests that it has at upstreams; null where the receiver takes no requests
      */
     @Serializable
@@ -53,6 +54,7 @@
         @SerialName("a") val active: Boolean = true,
         @SerialName("za") val zoneActive: List<String> = emptyList(),
         @SerialName("i") val everyMs: Int = FIRST_EVERY_MS,
+        @SerialName("k") val crashes: Long = 0,
         @SerialName("l") val load: List<UpstreamLoad>? = null,
     ) : PeerMessage
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/Peers.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/Peers.kt
@@ -122,6 +122,7 @@
         capacity = record.capacity,
         active = roles.active,
         zoneActive = if (roles.active) roles.chosen else emptyList(),
+        crashes = crashes.digest,
         everyMs = every.inWholeMilliseconds.toInt(),
         load = load,
     )
@@ -171,6 +172,7 @@
         if (hello.stopping && !left) log.log(GatewayEvent.PEER_LEAVING, hello.from)
         hello.load?.let { loads.receive(hello.from, it, whole = true) }
         compareKnowledge(hello)
+        crashes.compare(hello.crashes, hello.peers)
         if (hello.active && !wasActive) tookOver(hello)
         // An entry that has just started learns at once of this one, and what there is to know.
         if (fresh && roles.active) send(greetingOf(ticker.now(), GreetingPlan.ACTIVE, null), listOf(hello.peers))
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Lessons.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Lessons.kt
@@ -54,15 +54,15 @@
         if (result.status >= FIRST_SERVER_ERROR) {
             decisions.suspicion.failed(attempt.row)
         } else {
-            clear(fingerprint, result.status)
+            clear(fingerprint, result.status, now)
             decisions.suspicion.answered(attempt.row, now)
             worked(attempt, route, now, attempt.row.slownessNear(attempt.sentAt) ?: result.load?.slowness ?: 1.0)
         }
     }
 
     /** Only an answer that did not fail says that the request ends no upstream: a failing one may not have run it. */
-    private fun clear(fingerprint: Long, status: Int) {
-        val losses = decisions.crashes.answered(fingerprint)
+    private fun clear(fingerprint: Long, status: Int, now: Duration) {
+        val losses = decisions.crashes.answered(fingerprint, now)
         if (losses > 0) log.log(GatewayEvent.CRASH_CLEARED, java.lang.Long.toHexString(fingerprint), status, losses)
     }
 
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/decision/crash/CrashSuspectsSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/decision/crash/CrashSuspectsSpec.kt
@@ -56,7 +56,7 @@
         @Test
         fun `is cleared by an answer`() {
             for (i in 1..3) lost(i, i.seconds)
-            suspects.answered(7)
+            suspects.answered(7, 3.seconds)
             assertEquals(CrashVerdict.ADMITTED, suspects.verdict(7, 4.seconds))
         }
 
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/EntryCell.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/EntryCell.kt
@@ -90,6 +90,7 @@
         var rate = 0
         val roles = ActiveSet(name, record, table) { OwnEntry(serving, ticker.now() - began, rate) }
         val upstreams = UpstreamTable()
+        val crashes = CrashSuspects()
         val book: StateBook = StateBook(WordCodec, upstreams, ticker, log, { peers.serving = serving }, {})
         private val serving: Boolean get() = book.state != null && upstreams.all.isNotEmpty()
         val peers: Peers = Peers(
@@ -99,7 +100,7 @@
             table,
             roles,
             book,
-            CrashSuspects(),
+            crashes,
             ticker,
             log,
         ) {}
