Keep refused requests in the store, for entries that start after all others were lost

Callers saw a request that had ended three upstreams sent on after a loss of all entries: nobody was left to tell.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/CrashSuspects.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/CrashSuspects.kt
@@ -16,6 +16,9 @@
     private val rows = LinkedHashMap<Long, CrashRow>()
     private var expireAt = -Duration.INFINITE
 
+    /** Called when requests with a fingerprint are no longer refused. */
+    var onReadmitted: (fingerprint: Long) -> Unit = {}
+
     /**
      * Takes in [loss] of a request with [fingerprint] that came last at [seenAt]; false when that says nothing new.
      */
@@ -41,8 +44,10 @@
     fun answered(fingerprint: Long, at: Duration): Int {
         val row = (if (rows.isEmpty()) null else rows[fingerprint]) ?: return 0
         val before = row.losses.size
+        val refused = row.refused
         if (row.shared) row.clearedAt = maxOf(row.clearedAt, at)
         row.losses.values.removeIf { it.at <= at }
+        if (refused && !row.refused) onReadmitted(fingerprint)
         return before - row.losses.size
     }
 
@@ -83,7 +88,11 @@
     private fun expire(now: Duration) {
         if (rows.isEmpty() || now < expireAt) return
         expireAt = now + EXPIRE_EVERY
-        rows.values.removeIf { it.isSpent(now) }
+        val spent = rows.filterValues { it.isSpent(now) }
+        for ((fingerprint, row) in spent) {
+            rows.remove(fingerprint)
+            if (row.refused) onReadmitted(fingerprint)
+        }
     }
 
     /** Makes room: requests that are not refused go first, and of each sort the one that came last the longest ago. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
@@ -71,6 +71,13 @@
         "losses",
     ),
     CRASH_REFUSED(6208, Level.WARN, "a request is refused: upstreams ended under it", "fingerprint", "losses"),
+    CRASH_UNREADABLE(
+        6209,
+        Level.WARN,
+        "a record of a refused request cannot be read; it is left out",
+        "key",
+        "detail",
+    ),
     PEER_SEEN(6401, Level.INFO, "another entry was heard", "peer", "address"),
     PEER_SILENT(6402, Level.WARN, "another entry is silent", "peer", "silentMs"),
     PEER_LEAVING(6403, Level.INFO, "another entry is stopping", "peer"),
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/CrashExchange.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/CrashExchange.kt
@@ -28,6 +28,9 @@
     /** A number that follows from what this entry knows. */
     val digest: Long get() = crashes.digest(ticker.now())
 
+    /** Called when this entry finds that requests have to be refused from now on. */
+    var onRefused: (CrashSuspectNews) -> Unit = {}
+
     /** Tells all entries of [loss] under requests with [fingerprint]. */
     fun tell(fingerprint: Long, loss: CrashLoss) {
         log(fingerprint, loss, self)
@@ -48,7 +51,8 @@
     /** Takes in what another entry told. */
     fun receive(news: PeerMessage.CrashNews) = news.suspects.forEach { take(it, news.from) }
 
-    private fun take(suspect: CrashSuspectNews, from: String) {
+    /** Takes in what [from] told of requests with one fingerprint. */
+    fun take(suspect: CrashSuspectNews, from: String) {
         val now = ticker.now()
         suspect.clearedMs?.let { crashes.answered(suspect.fingerprint, now - it.milliseconds) }
         for (told in suspect.losses) {
@@ -58,7 +62,7 @@
         }
     }
 
-    private fun newsOf(fingerprint: Long, row: CrashRow, now: Duration): CrashSuspectNews {
+    private fun newsOf(fingerprint: Long, row: CrashRow, now: Duration = ticker.now()): CrashSuspectNews {
         val losses = row.losses.values.filter { it.confirmed }.take(MOST_LOSSES).map { newsOf(it, now) }
         val cleared = if (row.clearedAt.isInfinite()) null else (now - row.clearedAt).inWholeMilliseconds
         return CrashSuspectNews(fingerprint, losses, (now - row.seenAt).inWholeMilliseconds, cleared)
@@ -78,7 +82,13 @@
         val hex = java.lang.Long.toHexString(fingerprint)
         val losses = crashes.losses(fingerprint)
         log.log(GatewayEvent.CRASH_SUSPECT, hex, loss.upstream, loss.confirmed, losses, source)
-        if (crashes.becameRefused(fingerprint)) log.log(GatewayEvent.CRASH_REFUSED, hex, losses)
+        if (!crashes.becameRefused(fingerprint)) return
+        log.log(GatewayEvent.CRASH_REFUSED, hex, losses)
+        if (source ==
+            self
+        ) {
+            onRefused(crashes.shared(ticker.now()).getValue(fingerprint).let { newsOf(fingerprint, it) })
+        }
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/EntryRegister.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/EntryRegister.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.get
 import io.poplarwood.api.time.Ticker
 import io.poplarwood.gateway.log.EventLog
+import io.poplarwood.gateway.peer.CrashRecords
 import io.poplarwood.gateway.peer.PeerRecord
 import io.poplarwood.gateway.peer.PeerTable
 import io.poplarwood.gateway.store.Rows
@@ -23,13 +24,14 @@
     private val record: PeerRecord,
     private val peers: PeerTable,
     private val ticker: Ticker,
+    private val crashes: CrashRecords,
     private val log: EventLog,
 ) {
     /** Returns once both were done. */
     suspend fun run() {
         val value = Json.encodeToString(PeerRecord.serializer(), record).encodeToByteArray()
         while (store.announce(self, value).get() == null) delay(RETRY)
-        for (row in readEntries().rows) row.value?.let { learn(row.key, it) }
+        for (row in readEntries().rows) row.value?.let { take(row.key, it) }
     }
 
     private suspend fun readEntries(): Rows {
@@ -39,6 +41,10 @@
         }
     }
 
+    private fun take(key: String, value: ByteArray) {
+        if (!crashes.take(key, value)) learn(key, value)
+    }
+
     private fun learn(name: String, value: ByteArray) {
         try {
             peers.know(name, Json.decodeFromString(PeerRecord.serializer(), value.decodeToString()), ticker.now())
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -22,6 +22,7 @@
 import io.poplarwood.gateway.log.GatewayEvent
 import io.poplarwood.gateway.metrics.GatewayMetrics
 import io.poplarwood.gateway.peer.ActiveSet
+import io.poplarwood.gateway.peer.CrashRecords
 import io.poplarwood.gateway.peer.LoadBoard
 import io.poplarwood.gateway.peer.PeerRecord
 import io.poplarwood.gateway.peer.PeerSocket
@@ -114,7 +115,11 @@
         ticker,
     )
     private val sync = PeerSync(::askPeer, peerTable, book, settings.zone, scope).also { peers.askPeers = it::lookSoon }
-    private val register = EntryRegister(store, settings.entry, record, peerTable, ticker, log)
+    private val crashRecords = CrashRecords(store, peers.crashes, scope, log).also {
+        peers.crashes.onRefused = it::keep
+        decisions.crashes.onReadmitted = { fingerprint -> if (roles.isLead) it.drop(fingerprint) }
+    }
+    private val register = EntryRegister(store, settings.entry, record, peerTable, ticker, crashRecords, log)
     private val check = UpstreamCheck(links::reaches, upstreams, ticker, scope)
     private val crashWatch = CrashWatch(decisions.crashes, check, random, ticker, scope, peers.crashes::tell)
     private val lessons = Lessons(decisions, loads, crashWatch, log)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateStore.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateStore.kt
@@ -16,4 +16,7 @@
 
     /** Writes the row [key] of [Topic.ENTRIES]. */
     suspend fun announce(key: String, value: ByteArray): Result<Unit, StoreError>
+
+    /** Removes the row [key] of [Topic.ENTRIES]. */
+    suspend fun withdraw(key: String): Result<Unit, StoreError>
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/Topic.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/Topic.kt
@@ -8,6 +8,6 @@
     /** The registrations of upstreams; one row each. */
     UPSTREAMS,
 
-    /** The entries of this installation; one row each. */
+    /** What entries keep for each other: one row for each entry, and one for each request that is refused for good. */
     ENTRIES,
 }
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SharedStore.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SharedStore.kt
@@ -64,6 +64,8 @@
 
         override suspend fun announce(key: String, value: ByteArray): Result<Unit, StoreError> = answer(LIMIT) {}
 
+        override suspend fun withdraw(key: String): Result<Unit, StoreError> = answer(LIMIT) {}
+
         private suspend fun <T> answer(limit: Duration, value: () -> T): Result<T, StoreError> {
             calls.merge(entry, 1, Int::plus)
             if (entry !in silentTo) {
