Heed what upstreams say of themselves: that they leave, and not before a time

Now Server-Leaving in an answer, of a request or a health check, ends new work for that life of the upstream at once, whatever its registration says, also when it goes and comes back; only another life (another start, or address) ends the mark. The mark is not shown to callers. It rides on the news and greetings that tell of load, so entries that take callers learn it after a lost datagram too. A 503 with Retry-After keeps requests and health checks of this entry away until then; of several times the longest counts, past ones count as none, unreadable ones as a second, and none for longer than an hour. The return is gradual and apart from that of others. A request that no upstream may take before its aim is refused at once with the earliest of these times; one that can waits.

The trail of a request names the state.

RunKnowledge is split off RequestRun.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/Placement.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/Placement.kt
@@ -2,6 +2,7 @@
 
 import io.poplarwood.api.id.Zone
 import io.poplarwood.api.random.Randomness
+import io.poplarwood.gateway.upstream.AvailabilityState
 import io.poplarwood.gateway.upstream.UpstreamRow
 import kotlin.math.max
 import kotlin.time.Duration
@@ -26,7 +27,7 @@
      * with, which may be less than its slots.
      */
     fun free(rows: List<UpstreamRow>, job: Job, exclude: Set<String>, now: Duration): UpstreamRow? =
-        pick(rows, job, now) { it.id !in exclude && hasRoom(it) && usable(it, now) }
+        pick(rows, job, now) { it.id !in exclude && hasRoom(it) && it.ownInFlight < allowed(it, now) }
 
     /** Whether [row] can run one more request at once without finishing less. */
     fun hasRoom(row: UpstreamRow): Boolean =
@@ -36,21 +37,27 @@
     fun capacity(rows: List<UpstreamRow>, now: Duration): Int =
         rows.sumOf { if (usable(it, now)) crowding.best(it.record.service, it.record.slots) else 0 }
 
-    /** Whether [row] may get work now. */
-    fun usable(row: UpstreamRow, now: Duration): Boolean {
-        val gone = row.goneAt
-        if (row.record.draining || (gone != null && now - gone < GONE)) return false
-        if (row.failures == 0 || now >= row.restUntil + TRIAL_SPAN) return true
-        return now >= row.restUntil && row.ownInFlight == 0
+    private fun allowed(row: UpstreamRow, now: Duration) = row.availability.allowed(row.record.slots, now)
+
+    /** Whether [row] may get work now, or as soon as what it holds ends. */
+    fun usable(row: UpstreamRow, now: Duration): Boolean = when (row.availability.state(now)) {
+        AvailabilityState.READY, AvailabilityState.RETURNING -> true
+        // What it holds may never end.
+        AvailabilityState.ON_TRIAL -> row.ownInFlight == 0
+        else -> false
     }
 
+    /** When the first of [rows] may get work; null when none is known to. */
+    fun usableFrom(rows: List<UpstreamRow>, exclude: Set<String>, now: Duration): Duration? =
+        rows.filter { it.id !in exclude }.mapNotNull { it.availability.from(now) }.minOrNull()
+
     /** Time to an answer of [row] to [job]. */
     fun expected(row: UpstreamRow, job: Job, now: Duration): Duration {
         val slots = max(row.record.slots, 1)
         val ahead = max(row.inFlight + 1 - slots, 0).toDouble() / slots
         var factor = slowness(row, now) * (1 + ahead)
         factor *= crowding.factor(row.record.service, row.inFlight + 1, slots)
-        if (now < row.warmUntil) factor *= COLD_FACTOR
+        if (row.availability.isCold(now)) factor *= COLD_FACTOR
         factor *= 1 + row.badShare * BAD_WEIGHT
         return job.work * factor + if (row.record.zone == zone) Duration.ZERO else farCost(job)
     }
@@ -109,11 +116,5 @@
         val CROSS_ZONE = 5.milliseconds
         val CROSS_ZONE_100_KB = 60.milliseconds
         const val HUNDRED_KB = 100_000.0
-
-        /** An upstream whose address answered for another is tried again after this: the answer may have been wrong. */
-        val GONE = 5_000.milliseconds
-
-        /** After a rest an upstream gets one request at a time for this long. */
-        val TRIAL_SPAN = 1_000.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/ProbeChoice.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/ProbeChoice.kt
@@ -1,5 +1,6 @@
 package io.poplarwood.gateway.decision
 
+import io.poplarwood.gateway.upstream.AvailabilityState
 import io.poplarwood.gateway.upstream.UpstreamRow
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -23,11 +24,13 @@
         val known = asked.count { isKnownQuick(it, now) }
         val needed = LEAST_KNOWN + KNOWN_PER_REQUEST * asked.sumOf { it.inFlight } - known
         if (needed <= 0) return emptyList()
-        return asked.filter { !it.record.draining && now - maxOf(it.slownessAt, it.probedAt) >= interval(it) }
+        return asked.filter { mayBeAsked(it, now) && now - maxOf(it.slownessAt, it.probedAt) >= interval(it) }
             .sortedWith(compareBy({ it.inFlight }, { it.slownessAt }))
             .take(needed)
     }
 
+    private fun mayBeAsked(row: UpstreamRow, now: Duration) = row.availability.state(now) !in UNASKED
+
     private fun isKnownQuick(row: UpstreamRow, now: Duration) =
         now - row.slownessAt < KNOWN && row.slowness < QUICK && row.freeSlots > 0
 
@@ -38,6 +41,9 @@
     }
 
     private companion object {
+        /** What an upstream tells of its load matters little while it gets no work, and some want no questions. */
+        val UNASKED = setOf(AvailabilityState.LEAVING, AvailabilityState.DEFERRED)
+
         /** Quick upstreams with a free slot to know of at least, and more for each request in flight. */
         const val LEAST_KNOWN = 10
         const val KNOWN_PER_REQUEST = 1
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/SlotDecision.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/SlotDecision.kt
@@ -11,6 +11,6 @@
     /** No upstream can take it in time; [retryAfter] is when one should. */
     data class Full(val retryAfter: Duration) : SlotDecision
 
-    /** The service has no upstream to use. */
-    data object NoUpstream : SlotDecision
+    /** The service has no upstream to use; [retryAfter] is when one should be, null when that is not known. */
+    data class NoUpstream(val retryAfter: Duration?) : SlotDecision
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/SlotQueue.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/SlotQueue.kt
@@ -22,8 +22,7 @@
     fun offer(request: SlotRequest, now: Duration) {
         val rows = upstreams.of(request.service)
         when {
-            rows.none { it.id !in request.exclude && placement.usable(it, now) } ->
-                request.decided(SlotDecision.NoUpstream)
+            settleWithoutUpstream(request, rows, now) -> Unit
             waiting.isEmpty() && settle(request, rows, now) -> Unit
             now + queueTime(request, rows, now) + request.job.work > request.deadline ->
                 request.decided(SlotDecision.Full(drainTime(request, rows)))
@@ -44,7 +43,7 @@
                 !it.canMeetAim(now)
             }.thenBy { it.priority }.thenBy { orderOf(it, now) },
         )
-        waiting.removeIf { settle(it, rows, now) }
+        waiting.removeIf { settleWithoutUpstream(it, rows, now) || settle(it, rows, now) }
     }
 
     /** Refuses all that wait; the entry is about to end. */
@@ -58,6 +57,15 @@
     private fun orderOf(request: SlotRequest, now: Duration): Duration =
         if (request.canMeetAim(now)) request.aim else -request.arrived
 
+    /** Refuses [request] if no upstream may get work before it would miss its aim. */
+    private fun settleWithoutUpstream(request: SlotRequest, rows: List<UpstreamRow>, now: Duration): Boolean {
+        if (rows.any { it.id !in request.exclude && placement.usable(it, now) }) return false
+        val from = placement.usableFrom(rows, request.exclude, now)
+        if (from != null && from > now && from + request.job.work <= request.aim) return false
+        request.decided(SlotDecision.NoUpstream(from?.takeIf { it > now }?.let { it - now }))
+        return true
+    }
+
     /** Decides about [request] if that can be done now. */
     private fun settle(request: SlotRequest, rows: List<UpstreamRow>, now: Duration): Boolean {
         val free = placement.free(rows, request.job, request.exclude, now)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/AbandonedRuns.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/AbandonedRuns.kt
@@ -7,13 +7,13 @@
 internal class AbandonedRun(val fingerprint: Long, val upstream: String, val since: Duration, val at: Duration)
 
 /**
- * Requests that ended without an answer while an upstream still ran them, kept for a while: the upstream may be found to
- * have ended under them.
+ * Requests that ended without an answer while an upstream still ran them, kept for a while: the upstream may be found
+ * to have ended under them.
  */
 internal class AbandonedRuns {
     private val runs = ArrayDeque<AbandonedRun>()
 
-    /** Keeps [run]; true when one with its fingerprint was abandoned shortly before, so that this one is worth a look. */
+    /** Keeps [run]; true when one with its fingerprint was abandoned shortly before, so that a look is worthwhile. */
     fun add(run: AbandonedRun): Boolean {
         expire(run.at)
         val again = runs.any { it.fingerprint == run.fingerprint && it.at < run.at }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/CrashSuspects.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/CrashSuspects.kt
@@ -7,10 +7,10 @@
 /**
  * Requests under which upstreams ended, by fingerprint.
  *
- * Answers a request that ends each upstream that runs it and comes again: after [LIMIT] upstreams in a row, counted over
- * all entries, it is refused. A connection that breaks under a common request says little, so a loss counts for good
- * once it is confirmed that the upstream itself has ended; until then it counts for a moment. An answer to a request
- * with the fingerprint clears it.
+ * Answers a request that ends each upstream that runs it and comes again: after [LIMIT] upstreams in a row, counted
+ * over all entries, it is refused. A connection that breaks under a common request says little, so a loss counts for
+ * good once it is confirmed that the upstream itself has ended; until then it counts for a moment. An answer to a
+ * request with the fingerprint clears it.
  */
 internal class CrashSuspects {
     private val rows = LinkedHashMap<Long, CrashRow>()
@@ -25,8 +25,9 @@
     fun lost(fingerprint: Long, loss: CrashLoss, seenAt: Duration): Boolean {
         val row = rows.getOrPut(fingerprint) { CrashRow() }
         row.seenAt = maxOf(row.seenAt, seenAt)
+        if (loss.at <= row.clearedAt) return false
         val known = row.losses[loss.id]
-        if (loss.at <= row.clearedAt || (known != null && (known.confirmed || !loss.confirmed))) return false
+        if (known != null && (known.confirmed || !loss.confirmed)) return false
         row.losses[loss.id] = loss
         if (rows.size > MAX_FINGERPRINTS) evict(seenAt)
         return true
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/explain/Explanation.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/explain/Explanation.kt
@@ -30,7 +30,7 @@
         private const val NEAR_MS = 5_000L
 
         /** What was believed of upstreams: registered, gone, unreadable, resting, back, a suspect crash. */
-        private val UPSTREAM_EVENTS = setOf("PW-6301", "PW-6302", "PW-6303", "PW-6304", "PW-6305", "PW-6206")
+        private val UPSTREAM_EVENTS = setOf("PW-6301", "PW-6302", "PW-6303", "PW-6304", "PW-6305", "PW-6306", "PW-6206")
 
         /** Starts, stops, the store and the desired state at the entry itself. */
         private val ENTRY_EVENTS = setOf(
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/AttemptResult.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/AttemptResult.kt
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders
 import io.poplarwood.gateway.upstream.LoadReport
+import io.poplarwood.gateway.upstream.UpstreamNotice
 
 /** What one attempt at an upstream brought. */
 internal sealed interface AttemptResult {
@@ -11,10 +12,15 @@
         val headers: HttpHeaders,
         val body: ByteArray,
         val load: LoadReport?,
+        val notice: UpstreamNotice,
     ) : AttemptResult
 
     /** The upstream says that it did not run the request. */
-    class NotExecuted(val cause: NotExecutedCause, val load: LoadReport?) : AttemptResult
+    class NotExecuted(
+        val cause: NotExecutedCause,
+        val load: LoadReport?,
+        val notice: UpstreamNotice,
+    ) : AttemptResult
 
     /** No connection; nothing was sent. */
     data object NotSent : AttemptResult
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamLink.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamLink.kt
@@ -155,14 +155,16 @@
         val headers = response.headers()
         val status = response.status().code()
         val load = LoadReport.parse(headers[names.load])
-        if (status == MISDIRECTED) return AttemptResult.NotExecuted(NotExecutedCause.OTHER_UPSTREAM, load)
+        val notice = names.noticeOf(status, headers)
+        if (status == MISDIRECTED) return AttemptResult.NotExecuted(NotExecutedCause.OTHER_UPSTREAM, load, notice)
         if (headers.contains(names.notExecuted) && status >= FIRST_ERROR) {
-            return AttemptResult.NotExecuted(NotExecutedCause.SHED, load)
+            return AttemptResult.NotExecuted(NotExecutedCause.SHED, load, notice)
         }
         val own = headers[names.requestId] == outbound?.request?.id
         val genuine = headers.contains(names.signature) && !headers.contains(HttpHeaderNames.CONTENT_ENCODING)
         if (!own || (status in SUCCESS && !genuine)) return AttemptResult.Lost(LossCause.GARBLED)
-        return AttemptResult.Answered(status, headers, body.bytes(), load)
+        headers.remove(names.leaving)
+        return AttemptResult.Answered(status, headers, body.bytes(), load, notice)
     }
 
     private fun keeps(response: HttpResponse): Boolean {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/LoadBatch.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/LoadBatch.kt
@@ -20,7 +20,10 @@
 
     /** News since the last call. */
     fun take(): List<UpstreamLoad> {
-        val news = pending.map { (id, slowness) -> UpstreamLoad(id, upstreams[id]?.ownInFlight ?: 0, slowness) }
+        val news = pending.map { (id, slowness) ->
+            val row = upstreams[id]
+            UpstreamLoad(id, row?.ownInFlight ?: 0, slowness, row?.leavingBorn)
+        }
         pending.clear()
         return news
     }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/LoadBoard.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/LoadBoard.kt
@@ -16,12 +16,14 @@
  *
  * @param wakeNear called when there is something to send within the zone and nothing was before
  * @param wakeFar the same for other zones
+ * @param leaves told of upstreams that another entry found to leave
  */
 internal class LoadBoard(
     private val upstreams: UpstreamTable,
     private val ticker: Ticker,
     wakeNear: () -> Unit,
     wakeFar: () -> Unit,
+    private val leaves: (upstream: String, born: Long, source: String) -> Unit = { _, _, _ -> },
 ) {
     private val near = LoadBatch(upstreams, wakeNear)
     private val far = LoadBatch(upstreams, wakeFar)
@@ -60,9 +62,12 @@
     /** News for entries of other zones since the last call. */
     fun takeFar(): List<UpstreamLoad> = far.take()
 
-    /** All own requests at upstreams. */
-    fun whole(): List<UpstreamLoad> =
-        upstreams.all.filter { it.ownInFlight > 0 }.map { UpstreamLoad(it.id, it.ownInFlight, 0) }
+    /** All own requests at upstreams, and upstreams that leave. */
+    fun whole(): List<UpstreamLoad> {
+        val (left, others) = upstreams.all.partition { it.availability.leaving }
+        val told = others.filter { it.ownInFlight > 0 } + left.takeLast(MOST_LEAVING)
+        return told.map { UpstreamLoad(it.id, it.ownInFlight, 0, it.leavingBorn) }
+    }
 
     /** Takes in news of [entry]; with [whole], it has nothing at upstreams that are not named. */
     fun receive(entry: String, load: List<UpstreamLoad>, whole: Boolean) {
@@ -71,6 +76,7 @@
         if (whole && tellers.remove(id)) upstreams.forget(id)
         if (load.isNotEmpty()) tellers += id
         for (news in load) {
+            news.leavingBorn?.let { leaves(news.upstream, it, entry) }
             val row = upstreams[news.upstream] ?: continue
             row.setOther(id, news.inFlight)
             if (news.slowness > 0) row.noteSlowness(news.slowness / PERCENT, now)
@@ -86,5 +92,8 @@
         val RATE_SPAN = 4.seconds
         val LATEST_SPAN = 1.seconds
         const val PERCENT = 100.0
+
+        /** A greeting has room for so many upstreams that leave; the registrations of others tell soon. */
+        const val MOST_LEAVING = 24
     }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
@@ -91,10 +91,13 @@
 /**
  * @property inFlight requests that the sender has at [upstream]
  * @property slowness percent of the usual time that work takes there now; 0 when the sender has nothing new
+ * @property leavingBorn when the life of [upstream] began that leaves, in milliseconds since the epoch; null when it
+ * does not leave
  */
 @Serializable
 internal data class UpstreamLoad(
     @SerialName("u") val upstream: String,
     @SerialName("n") val inFlight: Int,
     @SerialName("s") val slowness: Int,
+    @SerialName("b") val leavingBorn: Long? = null,
 )
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Attempt.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Attempt.kt
@@ -1,6 +1,7 @@
 package io.poplarwood.gateway.runtime
 
 import io.poplarwood.gateway.http.AttemptResult
+import io.poplarwood.gateway.upstream.AvailabilityState
 import io.poplarwood.gateway.upstream.UpstreamRow
 import kotlin.time.Duration
 
@@ -25,11 +26,26 @@
         return "${row.id}($basis):${describeResult()}$took"
     }
 
-    private fun describeResult(): String = when (val end = result) {
+    /** What came of it, as one word. */
+    fun describeResult(): String = when (val end = result) {
         null -> "unanswered"
         is AttemptResult.Answered -> end.status.toString()
         is AttemptResult.NotExecuted -> end.cause.name.lowercase()
         is AttemptResult.Lost -> end.cause.name.lowercase()
         AttemptResult.NotSent -> "not-sent"
     }
+
+    companion object {
+        /** What is believed at [now] of [row], and of [losses] under the request, as it stands in a log line. */
+        fun basisOf(row: UpstreamRow, now: Duration, losses: Int): String {
+            val age = now - row.slownessAt
+            val state = row.availability.state(now)
+            return buildString {
+                append("load=${row.inFlight}/${row.record.slots}")
+                if (age.isFinite()) append(",slow=${row.slowness}@${age.inWholeMilliseconds}ms")
+                if (state != AvailabilityState.READY) append(",${state.name.lowercase()}")
+                if (losses > 0) append(",lost=$losses")
+            }
+        }
+    }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/CrashWatch.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/CrashWatch.kt
@@ -6,6 +6,7 @@
 import io.poplarwood.gateway.decision.crash.AbandonedRuns
 import io.poplarwood.gateway.decision.crash.CrashLoss
 import io.poplarwood.gateway.decision.crash.CrashSuspects
+import io.poplarwood.gateway.upstream.AvailabilityState
 import io.poplarwood.gateway.upstream.UpstreamRow
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
@@ -29,7 +30,7 @@
 
     /** Notes that an attempt at [row] of a request with [fingerprint], begun at [since], lost its connection. */
     fun lost(row: UpstreamRow, fingerprint: Long, since: Duration, now: Duration) {
-        if (row.record.draining) return
+        if (row.availability.state(now) == AvailabilityState.LEAVING) return
         val loss = CrashLoss(random.nextLong(), row.id, since, now, confirmed = false)
         val first = crashes.losses(fingerprint) == 0
         crashes.lost(fingerprint, loss, now)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -97,11 +97,13 @@
         Peers(socket::send, settings.entry, record, peerTable, roles, book, decisions.crashes, ticker, log) {
             pump()
         }
+    private val states = UpstreamStates(upstreams, random, log) { links.closeIdle(it.record.address) }
     private val loads: LoadBoard = LoadBoard(
         upstreams,
         ticker,
         { after(NEAR_NEWS) { peers.sendLoads(loads.takeNear(), near = true) } },
         { after(FAR_NEWS) { peers.sendLoads(loads.takeFar(), near = false) } },
+        { upstream, born, source -> states.leaves(upstream, born, source, ticker.now()) },
     ).also { peers.loads = it }
     private val prober = LoadProber(
         upstreams,
@@ -112,6 +114,7 @@
         caller,
         adapter.headers,
         metrics,
+        states,
         ticker,
     )
     private val sync = PeerSync(::askPeer, peerTable, book, settings.zone, scope).also { peers.askPeers = it::lookSoon }
@@ -122,7 +125,7 @@
     private val register = EntryRegister(store, settings.entry, record, peerTable, ticker, crashRecords, log)
     private val check = UpstreamCheck(links::reaches, upstreams, ticker, scope)
     private val crashWatch = CrashWatch(decisions.crashes, check, random, ticker, scope, peers.crashes::tell)
-    private val lessons = Lessons(decisions, loads, crashWatch, log)
+    private val lessons = Lessons(decisions, loads, crashWatch, states, log)
     private val requestLog = RequestLog(log, metrics, ticker)
     private val flow = RequestFlow(book, decisions, links, loads, ticker, metrics, lessons, requestLog, log)
     private val directory =
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Lessons.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Lessons.kt
@@ -7,7 +7,9 @@
 import io.poplarwood.gateway.log.GatewayEvent
 import io.poplarwood.gateway.peer.LoadBoard
 import io.poplarwood.gateway.route.Route
+import io.poplarwood.gateway.upstream.AvailabilityInput
 import io.poplarwood.gateway.upstream.LoadReport
+import io.poplarwood.gateway.upstream.UpstreamNotice
 import io.poplarwood.gateway.upstream.UpstreamRow
 import kotlin.time.Duration
 
@@ -16,13 +18,14 @@
     private val decisions: Decisions,
     private val loads: LoadBoard,
     private val crashes: CrashWatch,
+    private val states: UpstreamStates,
     private val log: EventLog,
 ) {
     /** Takes over the end of [attempt] of a request with [fingerprint]. */
     fun learn(attempt: Attempt, route: Route, fingerprint: Long) {
         val row = attempt.row
         val now = checkNotNull(attempt.endedAt)
-        val resting = row.restUntil
+        val before = row.availability.state(now)
         when (val result = attempt.result) {
             is AttemptResult.Answered -> answered(attempt, result, route, fingerprint, now)
             is AttemptResult.NotExecuted -> notExecuted(row, result, now)
@@ -36,7 +39,8 @@
             }
             null -> Unit
         }
-        tell(row, resting, now)
+        val after = row.availability.state(now)
+        if (after != before) states.tell(row, after, attempt.describeResult(), UpstreamStates.SELF, now)
     }
 
     /** Takes over that a request with [fingerprint] ended without an answer while [attempt] was running. */
@@ -51,6 +55,7 @@
         now: Duration,
     ) {
         reported(attempt.row, result.load, now)
+        noticed(attempt.row, result.notice, now)
         if (result.status >= FIRST_SERVER_ERROR) {
             decisions.suspicion.failed(attempt.row)
         } else {
@@ -69,13 +74,18 @@
     private fun notExecuted(row: UpstreamRow, result: AttemptResult.NotExecuted, now: Duration) {
         reported(row, result.load, now)
         if (result.cause == NotExecutedCause.OTHER_UPSTREAM) {
-            row.goneAt = now
-            log.log(GatewayEvent.UPSTREAM_GONE, row.id, row.record.service, "another lives at its address", null)
+            states.take(row, AvailabilityInput.AnotherAtItsAddress, now)
         } else {
+            noticed(row, result.notice, now)
             decisions.suspicion.shed(row, now)
         }
     }
 
+    private fun noticed(row: UpstreamRow, notice: UpstreamNotice, now: Duration) {
+        states.noticed(row, notice, now)
+        if (notice.leaving) loads.changed(row)
+    }
+
     private fun reported(row: UpstreamRow, load: LoadReport?, now: Duration) {
         load?.slowness?.let { loads.slowness(row, it, now) }
     }
@@ -89,16 +99,6 @@
         decisions.placement.crowding.note(row.record.service, held, row.record.slots, ratio)
     }
 
-    private fun tell(row: UpstreamRow, resting: Duration, now: Duration) {
-        val rests = row.restUntil > now
-        when {
-            rests && resting < now ->
-                log.log(GatewayEvent.UPSTREAM_RESTS, row.id, row.failures, (row.restUntil - now).inWholeMilliseconds)
-            !rests && resting > -Duration.INFINITE && row.restUntil == -Duration.INFINITE ->
-                log.log(GatewayEvent.UPSTREAM_BACK, row.id)
-        }
-    }
-
     private companion object {
         const val FIRST_SERVER_ERROR = 500
     }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/LoadProber.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/LoadProber.kt
@@ -27,6 +27,7 @@
     private val caller: HttpCaller,
     private val names: HeaderNames,
     private val metrics: GatewayMetrics,
+    private val states: UpstreamStates,
     private val ticker: Ticker,
 ) {
     /** Asks those upstreams of this entry that are due. */
@@ -50,6 +51,7 @@
         row.probeTook += (now - began - row.probeTook) * LEARNING
         // Another upstream may live at the address by now.
         if (reply == null || reply.headers[names.upstreamId] != row.id || row.record.service != service) return
+        states.noticed(row, names.noticeOf(reply.status, reply.headers), now)
         LoadReport.parse(reply.headers[names.load])?.slowness?.let { loads.slowness(row, it, now) }
     }
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
@@ -5,10 +5,8 @@
 import io.poplarwood.gateway.decision.SlotDecision
 import io.poplarwood.gateway.decision.SlotRequest
 import io.poplarwood.gateway.decision.crash.CrashVerdict
-import io.poplarwood.gateway.http.Answer
 import io.poplarwood.gateway.http.AttemptResult
 import io.poplarwood.gateway.http.CallerRequest
-import io.poplarwood.gateway.http.HopHeaders
 import io.poplarwood.gateway.http.NotExecutedCause
 import io.poplarwood.gateway.http.Outbound
 import io.poplarwood.gateway.metrics.RepeatReason
@@ -49,13 +47,12 @@
     private val signal = Channel<Unit>(Channel.CONFLATED)
     private var sent = 0
     private var unsent = 0
-    private var mayHaveRun = false
     private var ending = false
     private var answered = false
 
     /** When an attempt was lost last. */
     private var lostAt = -Duration.INFINITE
-    private var failure: AttemptResult.Answered? = null
+    private val known = RunKnowledge()
 
     /** Ends the request now with what is known of it. */
     fun end() {
@@ -88,9 +85,9 @@
         val decision = withTimeoutOrNull(deadline - ticker.now()) { place() }
         report.waited = ticker.now() - request.arrived
         return when (decision) {
-            null -> refuse(Outcome.EXPIRED, RETRY_SOON)
-            is SlotDecision.Full -> refuse(Outcome.FULL, decision.retryAfter)
-            SlotDecision.NoUpstream -> refuse(Outcome.NO_UPSTREAM, RETRY_NO_UPSTREAM)
+            null -> known.refuse(Outcome.EXPIRED, RETRY_SOON)
+            is SlotDecision.Full -> known.refuse(Outcome.FULL, decision.retryAfter)
+            is SlotDecision.NoUpstream -> known.refuse(Outcome.NO_UPSTREAM, decision.retryAfter ?: RETRY_NO_UPSTREAM)
             is SlotDecision.Granted -> startOrRefuse(decision.row)
         }
     }
@@ -100,7 +97,7 @@
         val verdict = crashVerdict()
         if (verdict != CrashVerdict.ADMITTED) {
             release(row)
-            return refuse(Outcome.CRASHES, RequestFlow.pauseAfter(verdict))
+            return known.refuse(Outcome.CRASHES, RequestFlow.pauseAfter(verdict))
         }
         start(row)
         return null
@@ -131,25 +128,25 @@
             AttemptResult.NotSent -> {
                 sent--
                 unsent++
-                again(RepeatReason.NOT_SENT) ?: ifNothingRuns { refuse(Outcome.NOT_SENT, RETRY_SOON) }
+                again(RepeatReason.NOT_SENT) ?: ifNothingRuns { known.refuse(Outcome.NOT_SENT, RETRY_SOON) }
             }
             is AttemptResult.Lost -> {
-                mayHaveRun = true
+                known.mayHaveRun = true
                 val end = if (route.kind.repeatable) again(RepeatReason.LOST) else null
-                end ?: ifNothingRuns { unknown(Outcome.LOST) }
+                end ?: ifNothingRuns { known.unknown(Outcome.LOST) }
             }
         }
 
     private suspend fun CoroutineScope.answered(result: AttemptResult.Answered): RequestEnd? {
-        mayHaveRun = true
-        if (result.status < FIRST_SERVER_ERROR || !route.kind.repeatable) return pass(result)
-        failure = result
-        return again(RepeatReason.FAILED) ?: ifNothingRuns { pass(result) }
+        known.mayHaveRun = true
+        if (result.status < FIRST_SERVER_ERROR || !route.kind.repeatable) return known.pass(result)
+        known.failure = result
+        return again(RepeatReason.FAILED) ?: ifNothingRuns { known.pass(result) }
     }
 
     private suspend fun CoroutineScope.notExecuted(result: AttemptResult.NotExecuted): RequestEnd? {
         val reason = if (result.cause == NotExecutedCause.SHED) RepeatReason.SHED else RepeatReason.OTHER_UPSTREAM
-        return again(reason) ?: ifNothingRuns { refuse(Outcome.SHED, RETRY_SHED) }
+        return again(reason) ?: ifNothingRuns { known.refuse(Outcome.SHED, availableIn() ?: RETRY_SHED) }
     }
 
     /** Starts a further attempt when one is allowed and an upstream is there; null always, once it runs or not. */
@@ -168,6 +165,13 @@
         return null
     }
 
+    /** Time until an upstream of the service may get work; null when one may now, or none is known to. */
+    private fun availableIn(): Duration? {
+        val now = ticker.now()
+        val from = decisions.placement.usableFrom(decisions.upstreams.of(service), emptySet(), now)
+        return from?.takeIf { it > now }?.let { it - now }
+    }
+
     private fun mayAttempt() = sent < route.maxAttempts && unsent < MAX_UNSENT && ticker.now() < deadline &&
         crashVerdict() == CrashVerdict.ADMITTED
 
@@ -208,7 +212,7 @@
 
     private fun CoroutineScope.start(row: UpstreamRow) {
         val now = ticker.now()
-        val attempt = Attempt(row, now, basisOf(row, now))
+        val attempt = Attempt(row, now, Attempt.basisOf(row, now, decisions.crashes.losses(request.fingerprint)))
         report.attempts += attempt
         running += attempt
         tried += row.id
@@ -242,35 +246,11 @@
         for (attempt in running) {
             if (ticker.now() - attempt.sentAt > SILENT) decisions.suspicion.lost(attempt.row, ticker.now())
         }
-        return failure?.let(::pass) ?: unknown(Outcome.TIMED_OUT)
-    }
-
-    private fun pass(result: AttemptResult.Answered): RequestEnd {
-        // These statuses promise that nothing ran, which the upstream did not say.
-        if (result.status in PROMISES) return unknown(Outcome.LOST)
-        HopHeaders.strip(result.headers)
-        return RequestEnd(Outcome.ANSWERED, Answer(result.status, result.headers, result.body))
-    }
-
-    private fun refuse(outcome: Outcome, retryAfter: Duration): RequestEnd {
-        failure?.let { return pass(it) }
-        if (mayHaveRun) return unknown(Outcome.LOST)
-        return RequestEnd(outcome, RequestFlow.refusal(outcome, retryAfter))
-    }
-
-    private fun unknown(outcome: Outcome) = RequestEnd(outcome, RequestFlow.refusal(outcome))
-
-    private fun basisOf(row: UpstreamRow, now: Duration): String {
-        val age = now - row.slownessAt
-        val known = if (age.isInfinite()) "" else ",slow=${row.slowness}@${age.inWholeMilliseconds}ms"
-        val losses = decisions.crashes.losses(request.fingerprint)
-        val lost = if (losses == 0) "" else ",lost=$losses"
-        return "load=${row.inFlight}/${row.record.slots}$known$lost"
+        return known.failure?.let(known::pass) ?: known.unknown(Outcome.TIMED_OUT)
     }
 
     private companion object {
         const val FIRST_SERVER_ERROR = 500
-        val PROMISES = setOf(408, 421, 429, 503)
 
         /** Upstreams that may refuse a connection before the request is given up. */
         const val MAX_UNSENT = 3
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/UpstreamCheck.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/UpstreamCheck.kt
@@ -41,7 +41,7 @@
 
     /** Where nothing can be reached, it is this entry that is cut off. */
     private suspend fun reachesAnother(row: UpstreamRow): Boolean =
-        upstreams.all.filter { it !== row && it.failures == 0 }.sortedByDescending { it.lastAnswerAt }
+        upstreams.all.filter { it !== row && it.availability.failures == 0 }.sortedByDescending { it.lastAnswerAt }
             .take(OTHERS).any { reaches(it.record.address) }
 
     private companion object {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/UpstreamRow.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/UpstreamRow.kt
@@ -32,33 +32,28 @@
     var probedAt: Duration = -Duration.INFINITE
     var probeTook: Duration = Duration.ZERO
 
-    /** Consecutive attempts that brought no answer. */
-    var failures: Int = 0
-
-    /** No work before this time, except one trial. */
-    var restUntil: Duration = -Duration.INFINITE
+    /** Whether it may get work. */
+    val availability = Availability().also { it.take(registered(record), now) }
 
     /** Recent share of attempts that failed or were shed, each weighted by its age in attempts. */
     var badShare: Double = 0.0
 
-    /** It answered that another upstream lives at its address, or that it is leaving. */
-    var goneAt: Duration? = null
-
     var lastAnswerAt: Duration = -Duration.INFINITE
 
-    /** End of its slow start. */
-    var warmUntil: Duration = now + record.warmup
-        private set
-
     val id: String get() = record.id
+
+    /** When this life began, if it is known to leave; null else. */
+    val leavingBorn: Long? get() = record.born.takeIf { availability.leaving }
     val freeSlots: Int get() = record.slots - inFlight
 
     /** Takes over a newer registration of the same life. */
     fun update(next: Upstream, now: Duration) {
         record = next
-        warmUntil = now + next.warmup
+        availability.take(registered(next), now)
     }
 
+    private fun registered(next: Upstream) = AvailabilityInput.Registered(next.draining, next.warmup)
+
     /** Notes how many requests [entry] has here. */
     fun setOther(entry: EntryId, count: Int) {
         val before = if (count == 0) others.remove(entry) else others.put(entry, count)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/UpstreamTable.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/UpstreamTable.kt
@@ -8,6 +8,7 @@
 internal class UpstreamTable {
     private val rows = LinkedHashMap<String, UpstreamRow>()
     private val services = HashMap<ServiceName, MutableList<UpstreamRow>>()
+    private val leaving = LeavingLives()
 
     val all: Collection<UpstreamRow> get() = rows.values
 
@@ -26,11 +27,21 @@
         }
         if (known != null) remove(record.id)
         val row = UpstreamRow(record, now)
+        if (leaving.has(record.id, record.born, now)) row.availability.take(AvailabilityInput.SaysItLeaves, now)
         rows[record.id] = row
         services.getOrPut(record.service) { ArrayList() } += row
         return known
     }
 
+    /**
+     * Notes that the life of the upstream [id] that began at [born] leaves. That holds too when its registration comes
+     * later, or goes and comes back.
+     */
+    fun markLeaving(id: String, born: Long, now: Duration) {
+        leaving.add(id, born, now)
+        rows[id]?.takeIf { it.record.born == born }?.availability?.take(AvailabilityInput.SaysItLeaves, now)
+    }
+
     /** Drops the upstream registered as [id]. */
     fun remove(id: String): UpstreamRow? {
         val row = rows.remove(id) ?: return null
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/EntryCell.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/EntryCell.kt
@@ -15,6 +15,7 @@
 import io.poplarwood.gateway.store.StoreError
 import io.poplarwood.gateway.store.Topic
 import io.poplarwood.gateway.support.upstream
+import io.poplarwood.gateway.upstream.AvailabilityState
 import io.poplarwood.gateway.upstream.Upstream
 import io.poplarwood.gateway.upstream.UpstreamTable
 import kotlinx.collections.immutable.persistentListOf
@@ -109,11 +110,17 @@
 
         init {
             peers.askPeers = sync::lookSoon
-            peers.loads = LoadBoard(upstreams, ticker, {}, {})
+            peers.loads = LoadBoard(upstreams, ticker, {}, {}, ::leaves)
         }
 
         /** Whether work may go to [upstream]. */
-        fun uses(upstream: String) = upstreams[upstream]?.record?.draining == false
+        fun uses(upstream: String) =
+            upstreams[upstream]?.let { it.availability.state(ticker.now()) != AvailabilityState.LEAVING } ?: false
+
+        private fun leaves(upstream: String, born: Long, source: String) {
+            check(source != name) { "an entry tells itself" }
+            upstreams.markLeaving(upstream, born, ticker.now())
+        }
 
         fun run() {
             for (other in entries) table.know(other.name, PeerRecord(other.zone, other.name, other.name), ticker.now())
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/NewsOfUpstreamsSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/NewsOfUpstreamsSpec.kt
@@ -97,6 +97,21 @@
         assertTrue(worst < LEAVING_BOUND, "took $worst")
     }
 
+    /** Guards against a mark of leaving that entries miss, or that an old registration undoes. */
+    @Test
+    fun `of a mark of leaving reach those that take callers though a datagram was lost`() {
+        val worst = worst(1L..20L) { cell, _ ->
+            cell.deaf += cell.entries.map { it.name }
+            val finder = cell.entries.first { it.roles.active }
+            finder.upstreams.markLeaving("u1", 1, testScheduler.currentTime.milliseconds)
+            delay(20.milliseconds)
+            cell.deaf.clear()
+            store.put(Topic.UPSTREAMS, "u1", "ready")
+            untilUnused(cell.entries.filter { it.roles.active }, "u1")
+        }
+        assertTrue(worst < LEAVING_BOUND, "took $worst")
+    }
+
     /** Guards against entries that count as cut off from the store for good after one outage. */
     @Test
     fun `go on after an outage, when every entry can follow the store again`() = runTest {
