Refuse at once, in an overloaded queue, what cannot meet its aim

Now, where requests have waited for half as long as one could wait itself, what cannot meet its aim at an upstream as full as it should be is refused at once, on arrival and in the queue; how long a wait will be follows from the pace at which this entry gets slots. Otherwise nothing changes.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/Placement.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/Placement.kt
@@ -33,6 +33,12 @@
     fun hasRoom(row: UpstreamRow): Boolean =
         row.inFlight < crowding.best(row.record.service, row.record.slots)
 
+    /** How much longer than at an idle upstream work takes at one like [row] that holds what it finishes most with. */
+    fun loadedFactor(row: UpstreamRow): Double {
+        val slots = row.record.slots
+        return crowding.factor(row.record.service, crowding.best(row.record.service, slots), slots)
+    }
+
     /** Requests that the usable ones of [rows] run at once when they finish most. */
     fun capacity(rows: List<UpstreamRow>, now: Duration): Int =
         rows.sumOf { if (usable(it, now)) crowding.best(it.record.service, it.record.slots) else 0 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/SlotQueue.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/SlotQueue.kt
@@ -12,18 +12,31 @@
  * Answers floods beyond what the service can carry. Requests that can still meet their aim go first, by rank and then
  * by aim; one that cannot any more takes only a slot that they leave, the newest first, so that a flood makes some
  * requests late rather than all. A request that would not be served in time even so is refused on arrival.
+ *
+ * Where requests have waited for half as long as one could wait itself, the service is overloaded: what could not meet
+ * its aim at an upstream that is as full as it should be is refused at once, since each slot that it took would make
+ * another one late. How long a wait will be follows from the pace at which this entry gets slots, which other entries
+ * want too.
  */
 internal class SlotQueue(private val placement: Placement, private val upstreams: UpstreamTable) {
     private val waiting = ArrayList<SlotRequest>()
+    private val grants = SlidingCount(RATE_SPAN)
+
+    /** Since when requests have waited, with short breaks at most, and when some waited last. */
+    private var pressedSince = -Duration.INFINITE
+    private var pressedAt = -Duration.INFINITE
 
     val size: Int get() = waiting.size
 
     /** Decides about [request] now, or keeps it until [pump] can. */
     fun offer(request: SlotRequest, now: Duration) {
         val rows = upstreams.of(request.service)
+        notePressure(now)
         when {
             settleWithoutUpstream(request, rows, now) -> Unit
             waiting.isEmpty() && settle(request, rows, now) -> Unit
+            overloads(request, now) && now + ownQueueTime(request, now) + loaded(request, rows) > request.aim ->
+                request.decided(SlotDecision.Full(drainTime(request, rows)))
             now + queueTime(request, rows, now) + request.job.work > request.deadline ->
                 request.decided(SlotDecision.Full(drainTime(request, rows)))
             else -> {
@@ -44,6 +57,36 @@
             }.thenBy { it.priority }.thenBy { orderOf(it, now) },
         )
         waiting.removeIf { settleWithoutUpstream(it, rows, now) || settle(it, rows, now) }
+        notePressure(now)
+        waiting.removeIf { overloads(it, now) && refuseLate(it, rows, now) }
+    }
+
+    private fun notePressure(now: Duration) {
+        if (waiting.isNotEmpty()) pressedAt = now
+        if (now - pressedAt > CALM) pressedSince = now
+    }
+
+    /** Whether requests have waited without a break for a good part of the time that [request] could wait. */
+    private fun overloads(request: SlotRequest, now: Duration) =
+        now - pressedAt <= CALM && now - pressedSince > (request.aim - request.arrived) * PRESSED_SHARE
+
+    private fun refuseLate(request: SlotRequest, rows: List<UpstreamRow>, now: Duration): Boolean {
+        if (now + loaded(request, rows) <= request.aim) return false
+        request.decided(SlotDecision.Full(drainTime(request, rows)))
+        return true
+    }
+
+    /** Time that [request] takes at an upstream that holds as much as it finishes most with. */
+    private fun loaded(request: SlotRequest, rows: List<UpstreamRow>): Duration {
+        val row = rows.firstOrNull() ?: return request.job.work
+        return request.job.work * placement.loadedFactor(row)
+    }
+
+    /** Time until those that go before [request] have got their slots, at the pace at which this entry gets them. */
+    private fun ownQueueTime(request: SlotRequest, now: Duration): Duration {
+        val ahead = waiting.count { it.priority <= request.priority && it.canMeetAim(now) }
+        if (ahead == 0) return Duration.ZERO
+        return RATE_SPAN * (ahead.toDouble() / grants.sum(now).coerceAtLeast(1))
     }
 
     /** Refuses all that wait; the entry is about to end. */
@@ -71,6 +114,7 @@
         val free = placement.free(rows, request.job, request.exclude, now)
         if (free != null && suits(request, free, now)) {
             free.ownInFlight++
+            grants.add(now)
             request.decided(SlotDecision.Granted(free))
             return true
         }
@@ -102,6 +146,15 @@
     private companion object {
         /** Share of the time to its aim for which a request holds out for an upstream that would meet it. */
         const val HOPE_SHARE = 0.4
+
+        /** Share of the time to its aim for which others have waited when a request finds the service overloaded. */
+        const val PRESSED_SHARE = 0.5
+
+        /** Span over which the pace of this entry's grants is measured. */
+        val RATE_SPAN = 500.milliseconds
+
+        /** A queue that was empty for this long is no longer pressed. */
+        val CALM = 50.milliseconds
         val SHORTEST = 20.milliseconds
         val LONGEST = 2.seconds
     }
