Do not charge a request with a loss that is confirmed after its answer

So a common request that is answered each time could gather losses. A loss is confirmed only while it still stands, and an answer also drops what is kept of the request's abandoned attempts.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/AbandonedRuns.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/AbandonedRuns.kt
@@ -29,6 +29,11 @@
         return found
     }
 
+    /** Drops those with [fingerprint]: such a request was answered. */
+    fun drop(fingerprint: Long) {
+        runs.removeAll { it.fingerprint == fingerprint }
+    }
+
     /** Whether [upstream] ran some at the end of which it was not looked at. */
     fun has(upstream: String): Boolean = runs.any { it.upstream == upstream }
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/CrashSuspects.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/CrashSuspects.kt
@@ -33,6 +33,12 @@
         return true
     }
 
+    /** Notes that the upstream of the loss [id] has ended; false when an answer has cleared the loss meanwhile. */
+    fun confirm(fingerprint: Long, id: Long, now: Duration): Boolean {
+        val loss = rows[fingerprint]?.losses?.get(id) ?: return false
+        return lost(fingerprint, loss.copy(confirmed = true), now)
+    }
+
     /** Drops the loss [id]: the upstream lives. */
     fun withdraw(fingerprint: Long, id: Long) {
         rows[fingerprint]?.losses?.remove(id)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/CrashWatch.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/CrashWatch.kt
@@ -45,6 +45,12 @@
         if (again || crashes.losses(fingerprint) > 0) look(row, now)
     }
 
+    /** Notes that a request with [fingerprint] was answered at [now]; returns the losses that this clears. */
+    fun answered(fingerprint: Long, now: Duration): Int {
+        abandoned.drop(fingerprint)
+        return crashes.answered(fingerprint, now)
+    }
+
     /** Notes that [row] accepted no connection. */
     fun unreachable(row: UpstreamRow, now: Duration) {
         if (abandoned.has(row.id)) look(row, now)
@@ -56,21 +62,17 @@
 
     private suspend fun settle(row: UpstreamRow, fingerprint: Long, loss: CrashLoss) {
         if (!check.hasEnded(row)) return crashes.withdraw(fingerprint, loss.id)
-        confirm(fingerprint, loss)
+        if (crashes.confirm(fingerprint, loss.id, ticker.now())) tell(fingerprint, loss.copy(confirmed = true))
         endedUnderAbandoned(row, loss.at)
     }
 
     private fun endedUnderAbandoned(row: UpstreamRow, at: Duration) {
         for (run in abandoned.take(row.id, at - LONGEST_RUN)) {
-            confirm(run.fingerprint, CrashLoss(random.nextLong(), row.id, run.since, run.at, confirmed = true))
+            val loss = CrashLoss(random.nextLong(), row.id, run.since, run.at, confirmed = true)
+            if (crashes.lost(run.fingerprint, loss, ticker.now())) tell(run.fingerprint, loss)
         }
     }
 
-    private fun confirm(fingerprint: Long, loss: CrashLoss) {
-        val confirmed = loss.copy(confirmed = true)
-        if (crashes.lost(fingerprint, confirmed, ticker.now())) tell(fingerprint, confirmed)
-    }
-
     private companion object {
         /** An upstream that ends later than this after a request was given up did not end under it. */
         val LONGEST_RUN = 1.seconds
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Lessons.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Lessons.kt
@@ -67,7 +67,7 @@
 
     /** Only an answer that did not fail says that the request ends no upstream: a failing one may not have run it. */
     private fun clear(fingerprint: Long, status: Int, now: Duration) {
-        val losses = decisions.crashes.answered(fingerprint, now)
+        val losses = crashes.answered(fingerprint, now)
         if (losses > 0) log.log(GatewayEvent.CRASH_CLEARED, java.lang.Long.toHexString(fingerprint), status, losses)
     }
 
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/decision/crash/CrashSuspectsSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/decision/crash/CrashSuspectsSpec.kt
@@ -3,6 +3,7 @@
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
@@ -60,6 +61,15 @@
             assertEquals(CrashVerdict.ADMITTED, suspects.verdict(7, 4.seconds))
         }
 
+        /** Guards against a loss that counts although a repeat of the request was answered before it was confirmed. */
+        @Test
+        fun `is not charged with a loss that is confirmed after an answer`() {
+            lost(1, 1.seconds, confirmed = false)
+            suspects.answered(7, 1_010.milliseconds)
+            assertFalse(suspects.confirm(7, 1, 1_100.milliseconds))
+            assertEquals(0, suspects.losses(7))
+        }
+
         /** Guards against a common request that is condemned because a rack of upstreams ended. */
         @Test
         fun `is not refused because many upstreams ended at one moment while they ran it`() {
