--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Lessons.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Lessons.kt
@@ -1,5 +1,6 @@
 package io.poplarwood.gateway.runtime
 
+import io.poplarwood.gateway.decision.Suspicion
 import io.poplarwood.gateway.http.AttemptResult
 import io.poplarwood.gateway.http.LossCause
 import io.poplarwood.gateway.http.NotExecutedCause
@@ -25,24 +26,24 @@
     fun learn(attempt: Attempt, route: Route, fingerprint: Long) {
         val row = attempt.row
         val now = checkNotNull(attempt.endedAt)
-        val before = row.availability.state(now)
         when (val result = attempt.result) {
             is AttemptResult.Answered -> answered(attempt, result, route, fingerprint, now)
             is AttemptResult.NotExecuted -> notExecuted(row, result, now)
             is AttemptResult.Lost -> {
-                decisions.suspicion.lost(row, now)
+                judge(attempt, now) { lost(row, now) }
                 if (result.cause != LossCause.GARBLED) crashes.lost(row, fingerprint, attempt.since, now)
             }
             AttemptResult.NotSent -> {
-                decisions.suspicion.lost(row, now)
+                judge(attempt, now) { lost(row, now) }
                 crashes.unreachable(row, now)
             }
             null -> Unit
         }
-        val after = row.availability.state(now)
-        if (after != before) states.tell(row, after, attempt.describeResult(), UpstreamStates.SELF, now)
     }
 
+    private inline fun judge(attempt: Attempt, now: Duration, change: Suspicion.() -> Unit) =
+        states.follow(attempt.row, attempt.describeResult(), UpstreamStates.SELF, now) { decisions.suspicion.change() }
+
     /** Takes over that a request with [fingerprint] ended without an answer while [attempt] was running. */
     fun abandoned(attempt: Attempt, fingerprint: Long, now: Duration) =
         crashes.abandoned(attempt.row, fingerprint, attempt.since, now)
@@ -60,7 +61,7 @@
             decisions.suspicion.failed(attempt.row)
         } else {
             clear(fingerprint, result.status, now)
-            decisions.suspicion.answered(attempt.row, now)
+            judge(attempt, now) { answered(attempt.row, now) }
             worked(attempt, route, now, attempt.row.slownessNear(attempt.sentAt) ?: result.load?.slowness ?: 1.0)
         }
     }
