--- a/daemon/src/main/kotlin/io/poplarwood/daemon/SelfTest.kt
+++ b/daemon/src/main/kotlin/io/poplarwood/daemon/SelfTest.kt
@@ -2,12 +2,14 @@
 
 import io.poplarwood.gateway.log.GatewayLogging
 import io.poplarwood.gateway.settings.GatewaySettings
+import io.poplarwood.platform.standin.Reaction
 import io.poplarwood.platform.standin.StandInCaller
 import io.poplarwood.platform.standin.StandInCell
 import kotlinx.coroutines.runBlocking
 import kotlinx.serialization.json.Json
 import sun.misc.Signal
 import java.nio.file.Files
+import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.concurrent.thread
 
 /**
@@ -22,6 +24,8 @@
     private const val TRIES = 20
     private const val RETURN_MS = 100L
     private const val STOP_S = 0.5
+    private const val PAUSE_S = "0.2"
+    private const val DOWN_MS = 300L
 
     /** Runs it; the number of requests that were answered. */
     fun run(): Int {
@@ -30,6 +34,7 @@
             cell.desire(1, StandInCell.routeOf("/read/"), StandInCell.routeOf("/write/", StandInCell.ONCE, "s2"))
             for (i in 1..3) cell.upstream("u$i")
             for (i in 4..5) cell.upstream("u$i", service = "s2")
+            troubled(cell)
             val daemon = runAsProcess(cell.settings("entry-2"))
             val (first, settings) = cell.gateway("entry-1")
             val served = (1..REQUESTS).count { ask(settings.listen.callers, it) }
@@ -41,6 +46,16 @@
         }
     }
 
+    /** Upstreams that leave, ask for a pause, or end while they run a request; others can answer in their place. */
+    private fun troubled(cell: StandInCell) {
+        cell.upstream("u6", react = Reaction::leaving)
+        cell.upstream("u7") { Reaction.shed(it, retryAfter = PAUSE_S) }
+        val ended = AtomicBoolean()
+        cell.upstream("u8") {
+            if (ended.getAndSet(true)) Reaction.answer(it) else Reaction(ByteArray(0), crashMs = DOWN_MS)
+        }
+    }
+
     private fun runAsProcess(settings: GatewaySettings): Thread {
         val file = Files.createTempFile("poplarwood", ".jsonc")
         Files.writeString(file, Json.encodeToString(GatewaySettings.serializer(), settings))
