Log what entries know of the rate limits that upstreams name

What callers saw: nothing; what an operator saw: an upstream that asked for 1.8 requests a second got nine, and no log line says whether any entry knew.

The limit header of an answer is now parsed (LimitNotice: missing, doubled, a list, zero, tiny, huge, signed, not a number) and merged into what the entry knows of that incarnation (UpstreamLimit: which of two answers is newer). The header is not passed on to callers. Nothing is limited yet.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/HeaderNames.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/HeaderNames.kt
@@ -13,7 +13,8 @@
  * @property upstreamId id of the upstream that answers a health check
  * @property signature the upstream's proof that it generated the response
  * @property notExecuted present on responses of upstreams that did not run the request
- * @property leaving present on responses of upstreams that are about to stop
+ * @property draining present on responses of upstreams that are about to stop
+ * @property rateLimit requests per second that the upstream accepts from all entries together
  * @property load load of the upstream at the time of its response
  */
 data class HeaderNames(
@@ -24,9 +25,15 @@
     val signature: String,
     val notExecuted: String,
     val draining: String,
+    val rateLimit: String,
     val load: String,
 ) {
     /** What an upstream announces about itself in the [headers] of a response with [status]. */
     internal fun parseNotice(status: Int, headers: HttpHeaders): UpstreamNotice =
-        UpstreamNotice.of(status, headers[draining], headers.getAll(HttpHeaderNames.RETRY_AFTER))
+        UpstreamNotice.of(
+            status,
+            headers[draining],
+            headers.getAll(HttpHeaderNames.RETRY_AFTER),
+            headers.getAll(rateLimit),
+        )
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnection.kt
@@ -167,6 +167,7 @@
         val authentic = headers.contains(names.signature) && !headers.contains(HttpHeaderNames.CONTENT_ENCODING)
         if (!matchesRequest || (status in SUCCESS_STATUSES && !authentic)) return AttemptResult.Lost(LossCause.GARBLED)
         headers.remove(names.draining)
+        headers.remove(names.rateLimit)
         return AttemptResult.Answered(status, headers, body.bytes(), load, notice)
     }
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Attempt.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Attempt.kt
@@ -47,6 +47,7 @@
                 append("load=${row.inFlight}/${row.record.slots}")
                 if (age.isFinite()) append(",slow=${row.slowness}@${age.inWholeMilliseconds}ms")
                 if (state != AvailabilityState.READY) append(",${state.name.lowercase()}")
+                row.limit.perSecond?.let { append(",limit=$it") }
                 if (losses > 0) append(",lost=$losses")
             }
         }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/AttemptFeedback.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/AttemptFeedback.kt
@@ -28,7 +28,7 @@
         val now = checkNotNull(attempt.endedAt)
         when (val result = attempt.result) {
             is AttemptResult.Answered -> onAnswered(attempt, result, route, fingerprint, now)
-            is AttemptResult.NotExecuted -> onNotExecuted(row, result, now)
+            is AttemptResult.NotExecuted -> onNotExecuted(attempt, result, now)
             is AttemptResult.Lost -> {
                 updateSuspicion(attempt, now) { recordLoss(row, now) }
                 if (result.cause != LossCause.GARBLED) crashes.linkLost(row, fingerprint, attempt.lossWindowStart, now)
@@ -58,7 +58,7 @@
         now: Duration,
     ) {
         recordSlowness(attempt.row, result.load, now)
-        applyNotice(attempt.row, result.notice, now)
+        applyNotice(attempt, result.notice, now, endsLimit = true)
         if (result.status >= FIRST_SERVER_ERROR) {
             decisions.suspicion.recordFailure(attempt.row)
         } else {
@@ -82,19 +82,20 @@
         if (losses > 0) log.log(GatewayEvent.CRASH_CLEARED, java.lang.Long.toHexString(fingerprint), status, losses)
     }
 
-    private fun onNotExecuted(row: UpstreamRow, result: AttemptResult.NotExecuted, now: Duration) {
+    private fun onNotExecuted(attempt: Attempt, result: AttemptResult.NotExecuted, now: Duration) {
+        val row = attempt.row
         recordSlowness(row, result.load, now)
         if (result.cause == NotExecutedCause.OTHER_UPSTREAM) {
             availability.update(row, AvailabilityInput.AddressConflict, now)
         } else {
-            applyNotice(row, result.notice, now)
+            applyNotice(attempt, result.notice, now, endsLimit = false)
             decisions.suspicion.recordShed(row, now)
         }
     }
 
-    private fun applyNotice(row: UpstreamRow, notice: UpstreamNotice, now: Duration) {
-        availability.applyNotice(row, notice, now)
-        if (notice.draining) loadBoard.scheduleUpdate(row)
+    private fun applyNotice(attempt: Attempt, notice: UpstreamNotice, now: Duration, endsLimit: Boolean) {
+        availability.applyNotice(attempt.row, notice, attempt.sentAt, now, endsLimit)
+        if (notice.draining) loadBoard.scheduleUpdate(attempt.row)
     }
 
     private fun recordSlowness(row: UpstreamRow, load: LoadReport?, now: Duration) {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/AvailabilityTracker.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/AvailabilityTracker.kt
@@ -5,6 +5,8 @@
 import io.poplarwood.gateway.log.GatewayEvent
 import io.poplarwood.gateway.upstream.AvailabilityInput
 import io.poplarwood.gateway.upstream.AvailabilityState
+import io.poplarwood.gateway.upstream.LimitNotice
+import io.poplarwood.gateway.upstream.LimitObservation
 import io.poplarwood.gateway.upstream.UpstreamNotice
 import io.poplarwood.gateway.upstream.UpstreamRow
 import io.poplarwood.gateway.upstream.UpstreamTable
@@ -21,12 +23,33 @@
     private val log: EventLog,
     private val onDraining: (UpstreamRow) -> Unit,
 ) {
-    /** Applies the [notice] that [row] sent to this entry. */
-    fun applyNotice(row: UpstreamRow, notice: UpstreamNotice, now: Duration) {
+    /**
+     * Applies the [notice] that [row] sent to this entry in the answer to a request sent at [sentAt].
+     *
+     * @param endsLimit whether an answer that names no limit ends the limit of the upstream
+     */
+    fun applyNotice(row: UpstreamRow, notice: UpstreamNotice, sentAt: Duration, now: Duration, endsLimit: Boolean) {
+        applyLimit(row, notice.limit, sentAt, now, endsLimit)
         if (notice.draining) markDraining(row.id, row.record.startMs, SOURCE_SELF, now)
         notice.retryAfter?.let { update(row, AvailabilityInput.PauseRequested(it), now) }
     }
 
+    private fun applyLimit(row: UpstreamRow, notice: LimitNotice, sentAt: Duration, now: Duration, endsLimit: Boolean) {
+        val perSecond = when (notice) {
+            is LimitNotice.Limited -> notice.perSecond
+            LimitNotice.Absent -> if (endsLimit) null else return
+            LimitNotice.Malformed -> return
+        }
+        observeLimit(row, LimitObservation(perSecond, sentAt, now), SOURCE_SELF, now)
+    }
+
+    /** Applies what [source] observed about the limit of [row], and logs a change of the limit. */
+    fun observeLimit(row: UpstreamRow, observation: LimitObservation, source: String, now: Duration) {
+        if (!row.limit.apply(observation)) return
+        val age = now - observation.receivedAt
+        log.log(GatewayEvent.UPSTREAM_LIMIT, row.id, observation.perSecond, source, age.inWholeMilliseconds)
+    }
+
     /** Applies [input] to [row]. */
     fun update(row: UpstreamRow, input: AvailabilityInput, now: Duration) =
         trackChange(row, logNameOf(input), SOURCE_SELF, now) {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/LoadProber.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/LoadProber.kt
@@ -51,7 +51,8 @@
         row.probeDuration += (now - sentAt - row.probeDuration) * PROBE_TIME_SMOOTHING
         // Another upstream may run at this address by now.
         if (reply == null || reply.headers[headerNames.upstreamId] != row.id || row.record.service != service) return
-        availability.applyNotice(row, headerNames.parseNotice(reply.status, reply.headers), now)
+        val notice = headerNames.parseNotice(reply.status, reply.headers)
+        availability.applyNotice(row, notice, sentAt, now, endsLimit = false)
         LoadReport.parse(reply.headers[headerNames.load])?.slowness?.let { loadBoard.recordSlowness(row, it, now) }
     }
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/UpstreamNotice.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/UpstreamNotice.kt
@@ -6,10 +6,15 @@
 /**
  * State that an upstream announces in the headers of an answer.
  *
- * @property leaving whether the upstream is about to stop
+ * @property draining whether the upstream is about to stop
  * @property retryAfter time for which the upstream asks this VM for no requests; null when it does not ask for that
+ * @property limit the rate of requests that the upstream accepts from all entries together
  */
-internal data class UpstreamNotice(val draining: Boolean, val retryAfter: Duration?) {
+internal data class UpstreamNotice(
+    val draining: Boolean,
+    val retryAfter: Duration?,
+    val limit: LimitNotice = LimitNotice.Absent,
+) {
     companion object {
         private const val SERVICE_UNAVAILABLE = 503
         private const val LEAVING_MARK = "1"
@@ -22,11 +27,17 @@
          * status 503. The longest of several values counts; a value that is zero or negative is ignored, and one that
          * is not a number, such as a date, counts as one second.
          */
-        fun of(status: Int, leavingMark: String?, retryAfter: List<String>): UpstreamNotice {
+        fun of(
+            status: Int,
+            leavingMark: String?,
+            retryAfter: List<String>,
+            limit: List<String> = emptyList(),
+        ): UpstreamNotice {
             val times = if (status == SERVICE_UNAVAILABLE) retryAfter.flatMap { it.split(',') } else emptyList()
             return UpstreamNotice(
                 leavingMark?.trim() == LEAVING_MARK,
                 times.mapNotNull { parseRetryAfter(it.trim()) }.maxOrNull(),
+                LimitNotice.parse(limit),
             )
         }
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/UpstreamRow.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/UpstreamRow.kt
@@ -35,6 +35,9 @@
     /** Whether the upstream may receive work. */
     val availability = Availability().also { it.apply(registration(record), now) }
 
+    /** Rate limit that the upstream names. */
+    var limit = UpstreamLimit()
+
     /** Smoothed share of attempts that failed or were shed, weighted by their age in attempts. */
     var failureRate: Double = 0.0
 
