Move the graceful stop out of GatewayProcess

GatewayProcess wires the parts of an entry and also ran its planned stop. The stop is now GracefulStop, which knows the caller listener and the requests in flight; GatewayProcess only announces it. No behaviour changes.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -198,32 +198,13 @@
         log.log(GatewayEvent.STARTED, settings.entry, settings.zone, settings.listen.callers, startedMs)
     }
 
-    /**
-     * Drains this entry without aborting requests: announces at once that callers should use other entries, still
-     * serves new requests for a part of the grace period, and waits for requests in flight until shortly before its
-     * end. Then gives the remaining requests their final answers.
-     */
+    /** Drains this entry within the grace period without aborting requests; see [GracefulStop]. */
     suspend fun stop() = withContext(scope.coroutineContext) {
-        val grace = bounds.graceS.seconds
-        val stopStartedAt = ticker.now()
-        log.log(GatewayEvent.STOPPING, requestHandler.inFlight, grace.inWholeMilliseconds)
-        stopping = true
-        peers.stopping = true
-        peers.sendHeartbeats()
-        callerListener.closesAfterResponse = true
-        while (ticker.now() - stopStartedAt < grace * REFUSE_NEW_AFTER_SHARE) {
-            delay(STOP_POLL_INTERVAL)
-            if (ticker.now() - stopStartedAt > grace * CLOSE_IDLE_AFTER_SHARE) callerListener.closeIdle()
+        GracefulStop(requestHandler, callerListener, ticker, log).run(bounds.graceS.seconds) {
+            stopping = true
+            peers.stopping = true
+            peers.sendHeartbeats()
         }
-        requestHandler.refusingNew = true
-        callerListener.close()
-        while (ticker.now() - stopStartedAt < grace - STOP_MARGIN && requestHandler.inFlight > 0) {
-            delay(STOP_POLL_INTERVAL)
-            callerListener.closeIdle()
-        }
-        requestHandler.finishAll()
-        delay(STOP_POLL_INTERVAL * 2)
-        log.log(GatewayEvent.STOPPED, requestHandler.inFlight, (ticker.now() - stopStartedAt).inWholeMilliseconds)
     }
 
     /**
@@ -335,13 +316,5 @@
         val CROSS_ZONE_UPDATE_DELAY = 20.milliseconds
         val RESTART_DELAY = 200.milliseconds
         const val CLOSE_TIMEOUT_MS = 2_000L
-        val STOP_POLL_INTERVAL = 20.milliseconds
-
-        /** Shares of the grace period after which idle connections are closed and new requests are refused. */
-        const val CLOSE_IDLE_AFTER_SHARE = 0.4
-        const val REFUSE_NEW_AFTER_SHARE = 0.5
-
-        /** Reserve before the end of the grace period, at which the process is killed. */
-        val STOP_MARGIN = 400.milliseconds
     }
 }
