Keep the rate that an upstream names for all entries together

Reading it at each entry would not do: six entries that keep 2/s each send 12/s.

Cause: a limit meant for all entries together had no owner. Now each request to an upstream with a limit needs a permit. One entry issues the permits of an upstream (rendezvous hashing among the entries that take callers), from a token bucket that is empty when it takes over, and only while the requests that all entries reported to have sent lately leave room. So a limit that was just named or lowered, and a handover between issuers, wait until what was sent before fits. An entry without a permit sends nothing; the request goes elsewhere or is refused at once with the time at which a permit is expected. Second attempts and probes leave such upstreams alone.

Ruled out: equal parts (4N + E requests, kept only from 0.5/s at 6 entries and 22.5/s at 50) and counting without an issuer (up to E - 1 more in a race); see docs/decisions/rate-limits.md.

SecondAttempts leaves RequestRun, since it had to learn of limits; the sliding window counter has a package of its own, since the limiter needs it too.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/SlidingWindowCounter.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/counter/SlidingWindowCounter.kt
@@ -1,11 +1,11 @@
-package io.poplarwood.gateway.decision
+package io.poplarwood.gateway.counter
 
 import kotlin.time.Duration
 
-/** Counts events over a sliding [window], with a resolution of 1/[BUCKETS] of the window. */
-internal class SlidingWindowCounter(window: Duration) {
-    private val bucketWidth = window / BUCKETS
-    private val counts = IntArray(BUCKETS)
+/** Counts events over a sliding [window], with a resolution of one of [buckets] equal parts of the window. */
+internal class SlidingWindowCounter(window: Duration, private val buckets: Int = BUCKETS) {
+    private val bucketWidth = window / buckets
+    private val counts = IntArray(buckets)
     private var currentBucket = 0L
     private var total = 0
 
@@ -25,7 +25,7 @@
     private fun advance(now: Duration) {
         val bucket = (now / bucketWidth).toLong()
         if (bucket <= currentBucket) return
-        val steps = minOf(bucket - currentBucket, BUCKETS.toLong()).toInt()
+        val steps = minOf(bucket - currentBucket, buckets.toLong()).toInt()
         for (i in 1..steps) {
             val index = indexOf(bucket - steps + i)
             total -= counts[index]
@@ -34,10 +34,10 @@
         currentBucket = bucket
     }
 
-    private fun indexOf(bucket: Long) = (bucket % BUCKETS).toInt()
+    private fun indexOf(bucket: Long) = (bucket % buckets).toInt()
 
     companion object {
-        /** Number of buckets in a window. */
+        /** Usual number of buckets in a window. */
         const val BUCKETS: Int = 40
     }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/Placement.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/Placement.kt
@@ -25,16 +25,19 @@
     val concurrencyModel = ConcurrencyModel()
 
     /**
-     * Returns an upstream of [rows] that has capacity and about the lowest expected latency, or null when none has
-     * capacity. The capacity is the concurrency with the highest throughput, which may be less than the slots.
+     * Returns an upstream of [rows] that has capacity, that [admits] the request and that has about the lowest expected
+     * latency, or null when there is none. The capacity is the concurrency with the highest throughput, which may be
+     * less than the slots.
      */
     fun selectUpstream(
         rows: List<UpstreamRow>,
         job: RequestEstimate,
         exclude: Set<String>,
         now: Duration,
-    ): UpstreamRow? =
-        selectBest(rows, job, now) { it.id !in exclude && hasCapacity(it) && it.ownInFlight < inFlightLimit(it, now) }
+        admits: (UpstreamRow) -> Boolean = { true },
+    ): UpstreamRow? = selectBest(rows, job, now) {
+        it.id !in exclude && hasCapacity(it) && it.ownInFlight < inFlightLimit(it, now) && admits(it)
+    }
 
     /** Whether one more request in flight does not lower the throughput of [row]. */
     fun hasCapacity(row: UpstreamRow): Boolean =
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/ProbeSelector.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/ProbeSelector.kt
@@ -33,7 +33,9 @@
             .take(needed)
     }
 
-    private fun mayBeProbed(row: UpstreamRow, now: Duration) = row.availability.state(now) !in UNPROBED_STATES
+    /** Upstreams that limit their requests get no probes, which would take a part of their limit. */
+    private fun mayBeProbed(row: UpstreamRow, now: Duration) =
+        row.availability.state(now) !in UNPROBED_STATES && row.limit.perSecond == null
 
     private fun isKnownFast(row: UpstreamRow, now: Duration) =
         now - row.slownessAt < KNOWN_MAX_AGE && row.slowness < FAST_MAX_SLOWNESS && row.freeSlots > 0
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/RetryBudget.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/RetryBudget.kt
@@ -1,6 +1,7 @@
 package io.poplarwood.gateway.decision
 
 import io.poplarwood.api.id.ServiceName
+import io.poplarwood.gateway.counter.SlidingWindowCounter
 import kotlin.time.Duration
 
 /**
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/SlotDecision.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/SlotDecision.kt
@@ -11,6 +11,9 @@
     /** No upstream can serve the request in time; a caller should retry after [retryAfter]. */
     data class Overloaded(val retryAfter: Duration) : SlotDecision
 
+    /** All usable upstreams name a rate limit that is used up; a permit is expected after [retryAfter]. */
+    data class RateLimited(val retryAfter: Duration) : SlotDecision
+
     /** No upstream of the service is usable; [retryAfter] is when one should be, null when that is unknown. */
     data class NoUpstream(val retryAfter: Duration?) : SlotDecision
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/SlotQueue.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/SlotQueue.kt
@@ -1,5 +1,7 @@
 package io.poplarwood.gateway.decision
 
+import io.poplarwood.gateway.counter.SlidingWindowCounter
+import io.poplarwood.gateway.limit.UpstreamPermits
 import io.poplarwood.gateway.upstream.UpstreamRow
 import io.poplarwood.gateway.upstream.UpstreamTable
 import kotlin.time.Duration
@@ -18,8 +20,15 @@
  * itself may wait. A request that could not meet its target time at an upstream at its concurrency limit is then
  * refused at once, because its slot would make another request late. The queueing delay is estimated from the rate at
  * which this entry obtains slots, since other entries compete for them.
+ *
+ * An upstream that names a rate limit is only used with a permit. While all usable upstreams name one, a request waits
+ * for a permit if one is expected in time for its target, and is refused at once otherwise.
  */
-internal class SlotQueue(private val placement: Placement, private val upstreams: UpstreamTable) {
+internal class SlotQueue(
+    private val placement: Placement,
+    private val upstreams: UpstreamTable,
+    private val permits: UpstreamPermits = UpstreamPermits(),
+) {
     private val waiting = ArrayList<SlotRequest>()
     private val grants = SlidingWindowCounter(GRANT_RATE_WINDOW)
 
@@ -36,8 +45,9 @@
     fun offer(request: SlotRequest, now: Duration) {
         val rows = upstreams.of(request.service)
         updateQueueingPeriod(now)
+        askForPermit(request, rows, now)
         when {
-            refuseWithoutUpstream(request, rows, now) -> Unit
+            refuseWithoutUpstream(request, rows, waiting.size, now) -> Unit
             waiting.isEmpty() && tryDecide(request, rows, now) -> Unit
             isOverloaded(request, now) &&
                 now + delayAtGrantRate(request, now) + saturatedTime(request, rows) > request.targetTime ->
@@ -61,7 +71,8 @@
                 !it.canMeetTarget(now)
             }.thenBy { it.priority }.thenBy { orderKey(it, now) },
         )
-        waiting.removeIf { refuseWithoutUpstream(it, rows, now) || tryDecide(it, rows, now) }
+        askForPermit(waiting.first(), rows, now)
+        waiting.removeIf { refuseWithoutUpstream(it, rows, ahead = 0, now) || tryDecide(it, rows, now) }
         updateQueueingPeriod(now)
         waiting.removeIf { isOverloaded(it, now) && refuseIfLate(it, rows, now) }
     }
@@ -109,20 +120,55 @@
     private fun orderKey(request: SlotRequest, now: Duration): Duration =
         if (request.canMeetTarget(now)) request.targetTime else -request.arrivedAt
 
-    /** Refuses [request] if no upstream may receive work before the request would miss its target time. */
-    private fun refuseWithoutUpstream(request: SlotRequest, rows: List<UpstreamRow>, now: Duration): Boolean {
-        if (rows.any { it.id !in request.exclude && placement.isUsable(it, now) }) return false
+    private fun askForPermit(request: SlotRequest, rows: List<UpstreamRow>, now: Duration) {
+        if (rows.none(permits::isLimited)) return
+        val usable = rows.filter { permits.isLimited(it) && isUsable(it, request, now) && placement.hasCapacity(it) }
+        permits.askForOne(usable, request.priority, now)
+    }
+
+    private fun isUsable(row: UpstreamRow, request: SlotRequest, now: Duration) =
+        row.id !in request.exclude && placement.isUsable(row, now)
+
+    /**
+     * Refuses [request] if no upstream may receive work before the request would miss its target time. [ahead] is the
+     * number of requests that are served before.
+     */
+    private fun refuseWithoutUpstream(
+        request: SlotRequest,
+        rows: List<UpstreamRow>,
+        ahead: Int,
+        now: Duration,
+    ): Boolean {
+        if (rows.any { isUsable(it, request, now) && permits.maySend(it, request.priority, now) }) return false
+        val usable = rows.filter { isUsable(it, request, now) }
+        if (usable.isNotEmpty()) return refuseWithoutPermit(request, usable, ahead, now)
         val usableAt = placement.earliestUsableAt(rows, request.exclude, now)
         if (usableAt != null && usableAt > now && usableAt + request.job.serviceTime <= request.targetTime) return false
         request.onDecision(SlotDecision.NoUpstream(usableAt?.takeIf { it > now }?.let { it - now }))
         return true
     }
 
+    private fun refuseWithoutPermit(
+        request: SlotRequest,
+        rows: List<UpstreamRow>,
+        ahead: Int,
+        now: Duration,
+    ): Boolean {
+        val permitAt = permits.expectedAt(rows, ahead, now)
+        if (permitAt + request.job.serviceTime <= request.targetTime) return false
+        request.onDecision(SlotDecision.RateLimited((permitAt - now).coerceAtLeast(MIN_RETRY_AFTER)))
+        return true
+    }
+
     /** Decides about [request] if a decision is possible now. */
     private fun tryDecide(request: SlotRequest, rows: List<UpstreamRow>, now: Duration): Boolean {
-        val row = placement.selectUpstream(rows, request.job, request.exclude, now)
+        val row = selectPermitted(request, rows, now)
+            ?: placement.selectUpstream(rows, request.job, request.exclude, now) {
+                permits.maySend(it, request.priority, now)
+            }
         if (row != null && isAcceptable(request, row, now)) {
             row.ownInFlight++
+            permits.recordSend(row, request.priority, now)
             grants.add(now)
             request.onDecision(SlotDecision.Granted(row))
             return true
@@ -132,6 +178,18 @@
         return true
     }
 
+    /**
+     * An upstream for which this entry holds a permit and which would answer [request] before its target time. It is
+     * preferred to faster ones, because the permit lapses.
+     */
+    private fun selectPermitted(request: SlotRequest, rows: List<UpstreamRow>, now: Duration): UpstreamRow? {
+        if (rows.none(permits::isLimited)) return null
+        val row = placement.selectUpstream(rows, request.job, request.exclude, now) {
+            permits.isLimited(it) && permits.maySend(it, request.priority, now)
+        }
+        return row?.takeIf { now + placement.expectedLatency(it, request.job, now) <= request.targetTime }
+    }
+
     /**
      * Whether [request] takes a slot at [row]. A request that can still meet its target time elsewhere does not go to
      * an upstream that would miss it.
@@ -145,9 +203,12 @@
     /** Queueing delay of [request] at the capacity of all usable upstreams. */
     private fun delayAtCapacity(request: SlotRequest, rows: List<UpstreamRow>, now: Duration): Duration {
         val ahead = waiting.count { it.priority <= request.priority && it.canMeetTarget(now) }
-        return request.job.serviceTime * (ahead.toDouble() / placement.capacity(rows, now).coerceAtLeast(1))
+        return request.job.serviceTime * (ahead.toDouble() / capacity(request, rows, now).coerceAtLeast(1))
     }
 
+    private fun capacity(request: SlotRequest, rows: List<UpstreamRow>, now: Duration): Int =
+        placement.capacity(rows.filter { permits.maySend(it, request.priority, now) }, now)
+
     /** Time until the requests that are now in flight or queued have been served. */
     private fun drainTime(request: SlotRequest, rows: List<UpstreamRow>): Duration {
         val slots = rows.sumOf { it.record.slots }.coerceAtLeast(1)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/explain/Cause.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/explain/Cause.kt
@@ -12,6 +12,8 @@
         Outcome.STOPPING to "The entry was about to end its planned stop; another would have taken the request.",
         Outcome.NO_UPSTREAM to
             "Every upstream of the service had left, rested after failures, or had the request already.",
+        Outcome.RATE_LIMITED to
+            "Every usable upstream of the service names a rate limit that all entries together had used up.",
         Outcome.FULL to
             "The service had more work than it carries: the wait for a slot was, or would have been, too long.",
         Outcome.SHED to "Each upstream that it was sent to said that it did not run it, and no other was allowed.",
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/GatewayMetrics.kt
@@ -1,5 +1,6 @@
 package io.poplarwood.gateway.metrics
 
+import io.poplarwood.gateway.limit.PermitEvent
 import io.poplarwood.gateway.runtime.Outcome
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.Histogram
@@ -16,12 +17,23 @@
     private val retries = counter("poplarwood_gateway_repeats", "Further attempts by reason.", "reason")
     private val connections = counter("poplarwood_gateway_upstream_connections", "Connections opened to upstreams.")
     private val probes = counter("poplarwood_gateway_probes", "Questions to upstreams for their load.")
+    private val permits =
+        counter(
+            "poplarwood_gateway_permits",
+            "Permits for upstreams with a rate limit, by what became of them.",
+            "event",
+        )
     private val latency = Histogram.builder().name("poplarwood_gateway_latency").unit(Unit.SECONDS)
         .help("Time from a request's head to its answer.").labelNames("priority").classicOnly()
         .classicUpperBounds(*LATENCY_BOUNDS_S).register(registry)
     private val requestsByOutcome = Outcome.entries.map { requests.labelValues(it.label) }
     private val retriesByReason = RetryReason.entries.map { retries.labelValues(it.name.lowercase()) }
 
+    private val permitsByEvent = PermitEvent.entries.map { permits.labelValues(it.name.lowercase()) }
+
+    /** Counts what became of a permit. */
+    fun permitChanged(event: PermitEvent) = permitsByEvent[event.ordinal].inc()
+
     /** Counts a request that ended with [outcome], [took] after its head arrived. */
     fun requestEnded(outcome: Outcome, priority: Int, took: Duration) {
         requestsByOutcome[outcome.ordinal].inc()
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/LoadGossip.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/LoadGossip.kt
@@ -2,7 +2,8 @@
 
 import io.poplarwood.api.id.EntryId
 import io.poplarwood.api.time.Ticker
-import io.poplarwood.gateway.decision.SlidingWindowCounter
+import io.poplarwood.gateway.counter.SlidingWindowCounter
+import io.poplarwood.gateway.upstream.LimitObservation
 import io.poplarwood.gateway.upstream.UpstreamRow
 import io.poplarwood.gateway.upstream.UpstreamTable
 import kotlin.math.ceil
@@ -19,6 +20,7 @@
  * @param onFarPending called when the first update for other zones is pending
  * @param onLeaving called for each upstream that another entry found to be draining; `born` is the start of the
  * incarnation in milliseconds since the epoch
+ * @param onLimit called with the limit of an upstream that another entry observed
  */
 internal class LoadGossip(
     private val upstreams: UpstreamTable,
@@ -26,10 +28,12 @@
     onNearPending: () -> Unit,
     onFarPending: () -> Unit,
     private val onLeaving: (upstream: String, born: Long, source: String) -> Unit = { _, _, _ -> },
+    private val onLimit: (row: UpstreamRow, observation: LimitObservation, source: String) -> Unit = { _, _, _ -> },
 ) {
     private val near = PendingLoadUpdates(upstreams, onNearPending)
     private val far = PendingLoadUpdates(upstreams, onFarPending)
     private val reporters = HashSet<EntryId>()
+    private var nextLimitedIndex = 0
     private val requests = SlidingWindowCounter(RATE_WINDOW)
     private val burst = SlidingWindowCounter(BURST_WINDOW)
 
@@ -62,16 +66,31 @@
     }
 
     /** Drains the updates for entries of the own zone. */
-    fun drainOwnZone(): List<UpstreamLoad> = near.drain()
+    fun drainOwnZone(): List<UpstreamLoad> = near.drain(ticker.now())
 
     /** Drains the updates for entries of other zones. */
-    fun drainOtherZones(): List<UpstreamLoad> = far.drain()
+    fun drainOtherZones(): List<UpstreamLoad> = far.drain(ticker.now())
 
-    /** Full state: all in-flight requests of this entry at upstreams, and the draining upstreams. */
+    /**
+     * Full state: all in-flight requests of this entry at upstreams, the draining upstreams and, in rotation, upstreams
+     * with a limit.
+     */
     fun fullState(): List<UpstreamLoad> {
+        val now = ticker.now()
         val (leaving, others) = upstreams.all.partition { it.availability.announcedDraining }
-        val reported = others.filter { it.ownInFlight > 0 } + leaving.takeLast(MAX_LEAVING)
-        return reported.map { UpstreamLoad(it.id, it.ownInFlight, 0, it.drainingIncarnation) }
+        val limited = nextLimited(others.filter { it.limit.current != null })
+        val reported = others.filter { it.ownInFlight > 0 || it in limited } + leaving.takeLast(MAX_LEAVING)
+        return reported.map {
+            val limit = if (it in limited) LimitUpdate.of(it, now) else null
+            UpstreamLoad(it.id, it.ownInFlight, 0, it.drainingIncarnation, limit)
+        }
+    }
+
+    private fun nextLimited(rows: List<UpstreamRow>): Set<UpstreamRow> {
+        if (rows.size <= MAX_LIMITED) return rows.toSet()
+        val start = nextLimitedIndex % rows.size
+        nextLimitedIndex = start + MAX_LIMITED
+        return List(MAX_LIMITED) { rows[(start + it) % rows.size] }.toSet()
     }
 
     /**
@@ -87,10 +106,16 @@
             update.leavingBorn?.let { onLeaving(update.upstream, it, entry) }
             val row = upstreams[update.upstream] ?: continue
             row.setInFlightOf(id, update.inFlight)
+            update.limit?.takeIf { it.born == row.record.startMs }?.let { receiveLimit(row, id, it, now) }
             if (update.slowness > 0) row.recordSlowness(update.slowness / PERCENT, now)
         }
     }
 
+    private fun receiveLimit(row: UpstreamRow, entry: EntryId, update: LimitUpdate, now: Duration) {
+        row.recentSends.report(entry, update.recentSends, now)
+        onLimit(row, update.toObservation(now), entry.value)
+    }
+
     private fun addUpdate(row: UpstreamRow, slowness: Int) {
         near.add(row.id, slowness)
         far.add(row.id, slowness)
@@ -105,5 +130,8 @@
          * As many draining upstreams as fit into a heartbeat; for others the change of their registration follows soon.
          */
         const val MAX_LEAVING = 24
+
+        /** Upstreams with a limit per heartbeat. */
+        const val MAX_LIMITED = 24
     }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
@@ -56,6 +56,9 @@
 
     lateinit var loadGossip: LoadGossip
 
+    /** Called with requests for permits and grants of permits. */
+    var onPermitMessage: (PeerMessage.PermitMessage) -> Unit = {}
+
     /** Called when another entry has newer rows of the store. */
     var requestSync: () -> Unit = {}
     private var announcedVersions = 0L to 0L
@@ -159,6 +162,7 @@
             is PeerMessage.LoadUpdate -> loadGossip.receive(message.from, message.load, isFullState = false)
             is PeerMessage.UpstreamUpdate -> receiveUpstreams(message)
             is PeerMessage.CrashUpdate -> crashGossip.receive(message)
+            is PeerMessage.PermitMessage -> onPermitMessage(message)
         }
         if (message !is PeerMessage.CrashUpdate) pump()
     }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
@@ -79,6 +79,48 @@
         @SerialName("r") val rows: List<ReplicatedRow>,
     ) : PeerMessage
 
+    /** Request for or grant of permits of the incarnation of [upstream] that began at [born]. */
+    @Serializable
+    sealed interface PermitMessage : PeerMessage {
+        val upstream: String
+        val born: Long
+    }
+
+    /**
+     * Asks the issuer of [upstream] for permits.
+     *
+     * @property from the entry that receives the permits
+     * @property priority rank of the request that needs a permit, 0 is the most urgent
+     * @property count number of permits
+     * @property forwarded whether an entry that is not the issuer forwarded the request
+     */
+    @Serializable
+    @SerialName("pr")
+    data class PermitRequest(
+        @SerialName("f") override val from: String,
+        @SerialName("u") override val upstream: String,
+        @SerialName("b") override val born: Long,
+        @SerialName("p") val priority: Int,
+        @SerialName("n") val count: Int,
+        @SerialName("w") val forwarded: Boolean = false,
+    ) : PermitMessage
+
+    /**
+     * Grants permits to the receiver.
+     *
+     * @property priority rank of the request that the permits were issued for
+     * @property count number of permits
+     */
+    @Serializable
+    @SerialName("pg")
+    data class PermitGrant(
+        @SerialName("f") override val from: String,
+        @SerialName("u") override val upstream: String,
+        @SerialName("b") override val born: Long,
+        @SerialName("p") val priority: Int,
+        @SerialName("n") val count: Int,
+    ) : PermitMessage
+
     /** Crash records: requests that upstreams ended under, or appear to have ended under. */
     @Serializable
     @SerialName("k")
@@ -95,6 +137,7 @@
  * @property slowness percent of the usual time that requests take at [upstream] now; 0 when the sender has no new value
  * @property leavingBorn start of the draining incarnation of [upstream], in milliseconds since the epoch; null
  * when [upstream] is not draining
+ * @property limit the rate limit that [upstream] names or has ended lately; null when the sender knows of none
  */
 @Serializable
 internal data class UpstreamLoad(
@@ -102,4 +145,5 @@
     @SerialName("n") val inFlight: Int,
     @SerialName("s") val slowness: Int,
     @SerialName("b") val leavingBorn: Long? = null,
+    @SerialName("m") val limit: LimitUpdate? = null,
 )
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PendingLoadUpdates.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PendingLoadUpdates.kt
@@ -1,6 +1,7 @@
 package io.poplarwood.gateway.peer
 
 import io.poplarwood.gateway.upstream.UpstreamTable
+import kotlin.time.Duration
 
 /**
  * Load updates of upstreams that are collected to be sent together.
@@ -19,10 +20,11 @@
     }
 
     /** Returns and removes the updates collected since the last call. */
-    fun drain(): List<UpstreamLoad> {
+    fun drain(now: Duration): List<UpstreamLoad> {
         val updates = pending.map { (id, slowness) ->
             val row = upstreams[id]
-            UpstreamLoad(id, row?.ownInFlight ?: 0, slowness, row?.drainingIncarnation)
+            val limit = row?.let { LimitUpdate.of(it, now) }
+            UpstreamLoad(id, row?.ownInFlight ?: 0, slowness, row?.drainingIncarnation, limit)
         }
         pending.clear()
         return updates
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/AttemptFeedback.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/AttemptFeedback.kt
@@ -58,7 +58,7 @@
         now: Duration,
     ) {
         recordSlowness(attempt.row, result.load, now)
-        applyNotice(attempt, result.notice, now, endsLimit = true)
+        applyNotice(attempt, result.notice, now, endsLimit = result.status < FIRST_SERVER_ERROR)
         if (result.status >= FIRST_SERVER_ERROR) {
             decisions.suspicion.recordFailure(attempt.row)
         } else {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/AvailabilityTracker.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/AvailabilityTracker.kt
@@ -15,12 +15,14 @@
 /**
  * Updates the availability of upstreams from observations, and logs each change of state.
  *
+ * @param onLimitChanged called when the rate limit that an upstream names changed
  * @param onDraining called when an upstream is found to be draining
  */
 internal class AvailabilityTracker(
     private val upstreams: UpstreamTable,
     private val random: RandomSource,
     private val log: EventLog,
+    private val onLimitChanged: (UpstreamRow) -> Unit,
     private val onDraining: (UpstreamRow) -> Unit,
 ) {
     /**
@@ -48,6 +50,8 @@
         if (!row.limit.apply(observation)) return
         val age = now - observation.receivedAt
         log.log(GatewayEvent.UPSTREAM_LIMIT, row.id, observation.perSecond, source, age.inWholeMilliseconds)
+        if (observation.perSecond == null) update(row, AvailabilityInput.LimitEnded, now)
+        onLimitChanged(row)
     }
 
     /** Applies [input] to [row]. */
@@ -92,6 +96,7 @@
             AvailabilityInput.Lost -> "lost"
             AvailabilityInput.Draining -> "says-it-leaves"
             is AvailabilityInput.PauseRequested -> "wants-nothing"
+            AvailabilityInput.LimitEnded -> "limit-ended"
             AvailabilityInput.AddressConflict -> "another-at-its-address"
         }
     }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Decisions.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Decisions.kt
@@ -9,6 +9,7 @@
 import io.poplarwood.gateway.decision.SlotQueue
 import io.poplarwood.gateway.decision.SlotRequest
 import io.poplarwood.gateway.decision.crash.CrashSuspects
+import io.poplarwood.gateway.limit.UpstreamPermits
 import io.poplarwood.gateway.route.SplitPicker
 import io.poplarwood.gateway.upstream.UpstreamTable
 import kotlin.time.Duration
@@ -23,6 +24,7 @@
     val placement: Placement,
     val retryBudget: RetryBudget,
     val splitPicker: SplitPicker,
+    val permits: UpstreamPermits,
     private val onQueued: () -> Unit,
 ) {
     val suspicion = OutcomeRecorder()
@@ -31,7 +33,7 @@
     val secondAttempt = HedgingPolicy(placement)
     private val queues = HashMap<ServiceName, SlotQueue>()
 
-    fun queue(service: ServiceName): SlotQueue = queues.getOrPut(service) { SlotQueue(placement, upstreams) }
+    fun queue(service: ServiceName): SlotQueue = queues.getOrPut(service) { SlotQueue(placement, upstreams, permits) }
 
     /** Decides on [request] at once, or queues it until a slot becomes free. */
     fun place(request: SlotRequest, now: Duration) {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -72,6 +72,22 @@
     private val store = adapter.createStore(httpClient, settings.store)
     private val upstreams = UpstreamTable()
     private val peerTable = PeerTable(settings.entry)
+    private val record =
+        PeerRecord(settings.zone, settings.listen.callers, settings.listen.peers, EntryCapacity.of(settings.limits))
+    private val activeSet = ActiveEntries(settings.entry, record, peerTable, ::ownEntry)
+    private val peerSocket = PeerSocket(eventLoopGroup, record.peers, { peers.receive(it) }, onMalformed = {})
+    private val rateLimiting = RateLimiting(
+        settings.entry,
+        upstreams,
+        peerTable,
+        activeSet,
+        ticker,
+        metrics,
+        peerSocket::send,
+        ::schedule,
+    ) {
+        dispatchQueued()
+    }
     private val splitPicker = SplitPicker(random::nextDouble)
     private val queueTimer = QueueTimer(eventLoop, ::dispatchQueued)
     private val decisions = Decisions(
@@ -83,6 +99,7 @@
             { peerTable.budgetSharers(ticker.now()) },
         ),
         splitPicker,
+        rateLimiting.permits,
         queueTimer::start,
     )
     private val upstreamLinks =
@@ -96,10 +113,6 @@
     private val stateBook: StateReplica = StateReplica(adapter.codec, upstreams, ticker, log, ::onStateChanged) {
         upstreamLinks.closeIdle(it.record.address)
     }
-    private val record =
-        PeerRecord(settings.zone, settings.listen.callers, settings.listen.peers, EntryCapacity.of(settings.limits))
-    private val activeSet = ActiveEntries(settings.entry, record, peerTable, ::ownEntry)
-    private val peerSocket = PeerSocket(eventLoopGroup, record.peers, { peers.receive(it) }, onMalformed = {})
     private val peers: PeerGossip = PeerGossip(
         peerSocket::send,
         settings.entry,
@@ -113,7 +126,7 @@
     ) {
         dispatchQueued()
     }
-    private val availability = AvailabilityTracker(upstreams, random, log) {
+    private val availability = AvailabilityTracker(upstreams, random, log, { loadBoard.scheduleUpdate(it) }) {
         upstreamLinks.closeIdle(it.record.address)
     }
     private val loadBoard: LoadGossip = LoadGossip(
@@ -122,7 +135,11 @@
         { schedule(ZONE_UPDATE_DELAY) { peers.sendLoadUpdates(loadBoard.drainOwnZone(), near = true) } },
         { schedule(CROSS_ZONE_UPDATE_DELAY) { peers.sendLoadUpdates(loadBoard.drainOtherZones(), near = false) } },
         { upstream, born, source -> availability.markDraining(upstream, born, source, ticker.now()) },
-    ).also { peers.loadGossip = it }
+        { row, observation, source -> availability.observeLimit(row, observation, source, ticker.now()) },
+    ).also {
+        peers.loadGossip = it
+        peers.onPermitMessage = rateLimiting.exchange::receive
+    }
     private val loadProber = LoadProber(
         upstreams,
         ProbeSelector { bounds.probesPerS },
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/LoadProber.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/LoadProber.kt
@@ -45,6 +45,7 @@
     private suspend fun probe(row: UpstreamRow, service: ServiceName, path: String) {
         val sentAt = ticker.now()
         row.probedAt = sentAt
+        row.recentSends.add(sentAt)
         metrics.probeSent()
         val reply = httpClient.call(row.record.address, "GET", path, null, PROBE_TIMEOUT, MAX_REPLY_BYTES)
         val now = ticker.now()
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Outcome.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Outcome.kt
@@ -16,6 +16,7 @@
     NO_STATE("no-state", 503, GatewayEvent.REFUSED),
     STOPPING("stopping", 503, GatewayEvent.REFUSED),
     NO_UPSTREAM("no-upstream", 503, GatewayEvent.REFUSED),
+    RATE_LIMITED("rate-limited", 503, GatewayEvent.REFUSED),
     FULL("full", 503, GatewayEvent.REFUSED),
     SHED("shed", 503, GatewayEvent.REFUSED),
     NOT_SENT("not-sent", 503, GatewayEvent.REFUSED),
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
@@ -41,6 +41,7 @@
     private val deadline = request.arrivedAt + minOf(request.timeout ?: route.timeout, route.timeout)
     private val targetAt = request.arrivedAt + route.target * TARGET_SHARE
     private val job: RequestEstimate get() = RequestEstimate(decisions.workTimes.mean(route), request.body.size)
+    private val secondAttempts = SecondAttempts(decisions, route, service, targetAt)
     private val triedUpstreams = HashSet<String>()
     private val runningAttempts = ArrayList<Attempt>(2)
     private val finishedAttempts = ArrayDeque<Attempt>()
@@ -87,6 +88,7 @@
         return when (decision) {
             null -> evidence.refuse(Outcome.EXPIRED, DEFAULT_RETRY_AFTER)
             is SlotDecision.Overloaded -> evidence.refuse(Outcome.FULL, decision.retryAfter)
+            is SlotDecision.RateLimited -> evidence.refuse(Outcome.RATE_LIMITED, decision.retryAfter)
             is SlotDecision.NoUpstream ->
                 evidence.refuse(Outcome.NO_UPSTREAM, decision.retryAfter ?: NO_UPSTREAM_RETRY_AFTER)
             is SlotDecision.Granted -> startOrRefuse(decision.row)
@@ -185,28 +187,15 @@
     private fun nextSecondAttemptCheck(now: Duration): Duration {
         val firstAttempt = runningAttempts.singleOrNull() ?: return Duration.INFINITE
         if (!route.kind.retryable || !mayRetry()) return Duration.INFINITE
-        return maxOf(
-            firstAttempt.sentAt + decisions.secondAttempt.firstCheckDelay(job),
-            now + SECOND_ATTEMPT_CHECK_INTERVAL,
-        )
+        return secondAttempts.nextCheckAt(firstAttempt, job, now)
     }
 
     /** Sends an idempotent request to a second upstream when the first one is slow or silent. */
     private fun CoroutineScope.considerSecondAttempt() {
         val firstAttempt = runningAttempts.singleOrNull() ?: return
         if (!route.kind.retryable || !mayRetry()) return
-        val now = ticker.now()
-        val row =
-            decisions.placement.selectUpstream(decisions.upstreams.of(service), job, triedUpstreams, now) ?: return
-        val longRunTime = decisions.workTimes.upperBound(route)
-        val waited = now - firstAttempt.sentAt
-        val worthwhile =
-            decisions.secondAttempt.shouldHedge(firstAttempt.row, waited, job, longRunTime, targetAt - now, row, now) &&
-                decisions.retryBudget.utilization(service, now) <= SECOND_ATTEMPT_BUDGET_SHARE &&
-                decisions.retryBudget.tryAcquire(service, now)
-        if (!worthwhile) return
+        val row = secondAttempts.select(firstAttempt, job, triedUpstreams, ticker.now()) ?: return
         handler.metrics.retryStarted(RetryReason.SLOW)
-        row.ownInFlight++
         startAttempt(row)
     }
 
@@ -277,10 +266,6 @@
         /** Share of a route's target latency that the entry may use; the rest is for the network to the caller. */
         const val TARGET_SHARE = 0.9
 
-        /** Share of the retry budget for second attempts at slow requests; the rest is for shed or lost requests. */
-        const val SECOND_ATTEMPT_BUDGET_SHARE = 0.7
-        val SECOND_ATTEMPT_CHECK_INTERVAL = 10.milliseconds
-
         /** An attempt that got no answer counts against its upstream only if it ran for longer than this. */
         val MIN_SILENCE = 300.milliseconds
         val DEFAULT_RETRY_AFTER = 50.milliseconds
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateReplica.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateReplica.kt
@@ -183,7 +183,7 @@
         if (now < expiryGraceUntil && answeredLately && !row.record.draining) {
             pendingRemoval[key] = now + EXPIRY_GRACE
         } else {
-            remove(key, "removed, told by $source", version)
+            remove(key, "removed, update of $source", version)
         }
     }
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/Availability.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/Availability.kt
@@ -43,6 +43,7 @@
         AvailabilityInput.Lost -> recordLoss(now)
         AvailabilityInput.Draining -> announcedDraining = true
         is AvailabilityInput.PauseRequested -> defer(input.duration, now, jitterFraction)
+        AvailabilityInput.LimitEnded -> deferredUntil = maxOf(deferredUntil, now)
         AvailabilityInput.AddressConflict -> conflictUntil = now + ADDRESS_CONFLICT_BACKOFF
     }
 
@@ -93,7 +94,7 @@
         /** Time after an ejection during which the upstream receives one request at a time. */
         val PROBATION = 1.seconds
 
-        /** Time over which an upstream that asked for a pause returns to all its slots. */
+        /** Time over which an upstream that asked for a pause, or for a lower rate, returns to all its slots. */
         val RAMP_UP = 1.seconds
 
         /**
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/AvailabilityInput.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/AvailabilityInput.kt
@@ -19,6 +19,9 @@
     /** The upstream refused a request and asks this VM for no requests for [time]. */
     data class PauseRequested(val duration: Duration) : AvailabilityInput
 
+    /** The upstream named a rate limit and no longer does. */
+    data object LimitEnded : AvailabilityInput
+
     /** Another upstream answered at the address of this one. */
     data object AddressConflict : AvailabilityInput
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/AvailabilityState.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/AvailabilityState.kt
@@ -5,7 +5,7 @@
     /** The upstream receives work. */
     READY,
 
-    /** The deferral that the upstream asked for is over; the load on it is ramped up. */
+    /** The pause or the lower rate that the upstream asked for is over; the load on it is ramped up. */
     RETURNING,
 
     /** The ejection is over and the upstream is on probation: it receives one request at a time. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/UpstreamLimit.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/UpstreamLimit.kt
@@ -15,6 +15,12 @@
     /** Requests per second that the upstream accepts from all entries together; null when it names no limit. */
     val perSecond: Double? get() = current?.perSecond
 
+    /**
+     * Requests per second that entries may send, null without a limit. A limit of zero leaves so many that its end is
+     * noticed, since only an answer tells it.
+     */
+    val rate: Double? get() = perSecond?.coerceIn(MIN_RATE, MAX_RATE)
+
     /** Applies [next]; returns whether the limit changed. */
     fun apply(next: LimitObservation): Boolean {
         val known = current
@@ -40,4 +46,12 @@
         }
 
     private fun isLower(next: Double?, known: Double?) = next != null && (known == null || next < known)
+
+    private companion object {
+        /** One request in five seconds. */
+        const val MIN_RATE = 0.2
+
+        /** More than any upstream can execute. */
+        const val MAX_RATE = 1_000_000.0
+    }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/UpstreamRow.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/UpstreamRow.kt
@@ -35,8 +35,9 @@
     /** Whether the upstream may receive work. */
     val availability = Availability().also { it.apply(registration(record), now) }
 
-    /** Rate limit that the upstream names. */
+    /** Rate limit that the upstream names for all entries together, and what they sent lately. */
     var limit = UpstreamLimit()
+    val recentSends = RecentSends()
 
     /** Smoothed share of attempts that failed or were shed, weighted by their age in attempts. */
     var failureRate: Double = 0.0
@@ -44,6 +45,7 @@
     var lastAnswerAt: Duration = -Duration.INFINITE
 
     val id: String get() = record.id
+    val incarnation = IncarnationId(record.id, record.startMs)
 
     /**
      * Start of this incarnation, in milliseconds since the epoch, if it announced that it is draining; null otherwise.
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedCluster.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedCluster.kt
@@ -2,13 +2,20 @@
 
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import io.poplarwood.api.id.Zone
 import io.poplarwood.api.random.SplitMix
 import io.poplarwood.api.time.Ticker
+import io.poplarwood.gateway.decision.Placement
+import io.poplarwood.gateway.decision.SlotQueue
+import io.poplarwood.gateway.decision.SlotRequest
 import io.poplarwood.gateway.decision.crash.CrashSuspects
 import io.poplarwood.gateway.directory.OwnEntry
 import io.poplarwood.gateway.log.EventLog
+import io.poplarwood.gateway.metrics.GatewayMetrics
 import io.poplarwood.gateway.route.CallerLimits
 import io.poplarwood.gateway.route.DesiredState
+import io.poplarwood.gateway.runtime.AvailabilityTracker
+import io.poplarwood.gateway.runtime.RateLimiting
 import io.poplarwood.gateway.store.StateCodec
 import io.poplarwood.gateway.store.StateReplica
 import io.poplarwood.gateway.store.StateWatcher
@@ -16,7 +23,9 @@
 import io.poplarwood.gateway.store.Topic
 import io.poplarwood.gateway.support.upstream
 import io.poplarwood.gateway.upstream.AvailabilityState
+import io.poplarwood.gateway.upstream.LimitObservation
 import io.poplarwood.gateway.upstream.Upstream
+import io.poplarwood.gateway.upstream.UpstreamRow
 import io.poplarwood.gateway.upstream.UpstreamTable
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
@@ -54,8 +63,14 @@
     var heartbeats = 0L
         private set
 
-    val entries: List<Entry> = zones.flatMap { zone -> List(perZone) { Entry("$zone-${it + 1}", zone) } }
-    private val byName = entries.associateBy { it.name }
+    private val byName = LinkedHashMap<String, Entry>()
+
+    /** The current incarnations of all entries. */
+    val entries: List<Entry> get() = byName.values.toList()
+
+    init {
+        for (zone in zones) for (i in 1..perZone) byName["$zone-$i"] = Entry("$zone-$i", zone)
+    }
 
     /** Starts all entries at random times within a second. */
     fun start() = entries.forEach { entry ->
@@ -65,6 +80,16 @@
         }
     }
 
+    /** Ends the entry [name] without a graceful stop and starts it again after [downtime]. */
+    suspend fun restart(name: String, downtime: Duration) {
+        val previous = byName.getValue(name)
+        previous.ended = true
+        stopped += name
+        delay(downtime)
+        byName[name] = Entry(name, previous.zone).also { it.run() }
+        stopped -= name
+    }
+
     private suspend fun fetch(peer: String, query: String): ByteArray? {
         delay(DATAGRAM_TIME * 2)
         return byName.getValue(peer).sync.reply(query)
@@ -89,6 +114,9 @@
         private val record = PeerRecord(zone, name, name)
         private val startedAt = ticker.now()
 
+        /** Whether this incarnation has ended. */
+        var ended = false
+
         /** Requests per second that the entry receives. */
         var requestsPerS = 0
         val roles = ActiveEntries(name, record, table) { OwnEntry(serving, ticker.now() - startedAt, requestsPerS) }
@@ -97,7 +125,7 @@
         val book: StateReplica = StateReplica(TextCodec, upstreams, ticker, log, { peers.serving = serving }, {})
         private val serving: Boolean get() = book.state != null && upstreams.all.isNotEmpty()
         val peers: PeerGossip = PeerGossip(
-            { message, to -> if (name !in stopped) send(message, to) },
+            ::sendUnlessStopped,
             name,
             record,
             table,
@@ -110,9 +138,47 @@
 
         val sync = PeerSync(::fetch, table, book, zone, scope)
 
+        private val availability =
+            AvailabilityTracker(upstreams, random, log, { peers.loadGossip.scheduleUpdate(it) }) {}
+        private val limiting: RateLimiting =
+            RateLimiting(name, upstreams, table, roles, ticker, GatewayMetrics(), ::sendUnlessStopped, ::after) {
+                queue.dispatch(ticker.now())
+            }
+        private val queue = SlotQueue(Placement(Zone(zone), random), upstreams, limiting.permits)
+
         init {
             peers.requestSync = sync::scheduleSync
-            peers.loadGossip = LoadGossip(upstreams, ticker, {}, {}, ::markDraining)
+            peers.loadGossip = LoadGossip(
+                upstreams,
+                ticker,
+                { after(3.milliseconds) { peers.sendLoadUpdates(peers.loadGossip.drainOwnZone(), near = true) } },
+                { after(20.milliseconds) { peers.sendLoadUpdates(peers.loadGossip.drainOtherZones(), near = false) } },
+                ::markDraining,
+            ) { row, observation, source -> availability.observeLimit(row, observation, source, ticker.now()) }
+            peers.onPermitMessage = limiting.exchange::receive
+        }
+
+        private fun sendUnlessStopped(message: PeerMessage, to: List<String>) {
+            if (name !in stopped && !ended) send(message, to)
+        }
+
+        private fun after(pause: Duration, action: () -> Unit) {
+            scope.launch {
+                delay(pause)
+                if (!ended) action()
+            }
+        }
+
+        /** Offers [request] to the queue of this entry. */
+        fun offer(request: SlotRequest) = queue.offer(request, ticker.now())
+
+        /** Records that the answer to a request sent to [row] at [sentAt] named the limit [perSecond]. */
+        fun answered(row: UpstreamRow, perSecond: Double?, sentAt: Duration) {
+            val now = ticker.now()
+            availability.observeLimit(row, LimitObservation(perSecond, sentAt, now), name, now)
+            row.ownInFlight--
+            peers.loadGossip.scheduleUpdate(row)
+            queue.dispatch(now)
         }
 
         /** Whether requests may be sent to [upstream]. */
@@ -134,7 +200,7 @@
                 }
             }
             scope.launch {
-                while (true) {
+                while (!ended) {
                     peers.tick()
                     sync.syncIfBehind()
                     delay(if (roles.active) ACTIVE_TICK else STANDBY_TICK)
