Count the queue when a request waits for a permit

A queued request was kept as if nothing were ahead of it, so with all upstreams limited those that could not be served waited until their target had passed. Now it counts the requests ahead, as on arrival.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/SlotQueue.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/SlotQueue.kt
@@ -72,7 +72,12 @@
             }.thenBy { it.priority }.thenBy { orderKey(it, now) },
         )
         askForPermit(waiting.first(), rows, now)
-        waiting.removeIf { refuseWithoutUpstream(it, rows, ahead = 0, now) || tryDecide(it, rows, now) }
+        var ahead = 0
+        waiting.removeIf { request ->
+            val decided = refuseWithoutUpstream(request, rows, ahead, now) || tryDecide(request, rows, now)
+            if (!decided) ahead++
+            decided
+        }
         updateQueueingPeriod(now)
         waiting.removeIf { isOverloaded(it, now) && refuseIfLate(it, rows, now) }
     }
