Measure rate limits that all entries share

'./poplarwood bench limits': six entries over real connections, six loads, two of them with a restart and a loss. It tells the most requests in four seconds against what is allowed, the share of the limits that is used, and what callers get.

--- a/bench/src/main/kotlin/io/poplarwood/bench/Benches.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/Benches.kt
@@ -6,6 +6,7 @@
 import io.poplarwood.bench.cost.DecisionCostBench
 import io.poplarwood.bench.deep.DeepBench
 import io.poplarwood.bench.flood.FloodBench
+import io.poplarwood.bench.limits.LimitsBench
 import io.poplarwood.bench.live.DrainBench
 import io.poplarwood.bench.live.FaultsBench
 import io.poplarwood.bench.overhead.OverheadBench
@@ -25,6 +26,7 @@
         FaultsBench(),
         DeepBench(),
         SlopesBench(),
+        LimitsBench(),
         DecisionCostBench,
     )
 }
