Check upstreams again after a request was abandoned there

Callers saw nothing; upstreams ended one after the other. A request that crashes its upstreams 1.4 s after its caller has left was sent on without end: 10 late arrivals of 5 calls, 3 s after the fifth loss; 3 are allowed (CrashingRequestSpec, 'disconnects 1,400 ms before the crashes', red before this change).

Cause: an abandoned attempt was checked for a crash when it was abandoned, and not again later, and an end more than a second later did not count against it. Now the upstream is checked three more times within two seconds, unless it reported its load just before; at most 32 attempts are watched at a time.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/AbandonedAttempts.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/AbandonedAttempts.kt
@@ -6,8 +6,8 @@
 /**
  * An attempt that [upstream] was still executing when its request ended.
  *
- * @property since when the request was sent to [upstream]
- * @property at when the request ended
+ * @property sentAt when the request was sent to [upstream]
+ * @property abandonedAt when the request ended
  */
 internal class AbandonedAttempt(
     val fingerprint: Long,
@@ -50,6 +50,9 @@
     /** Whether attempts at [upstream] are still unchecked. */
     fun contains(upstream: String): Boolean = runs.any { it.upstream == upstream }
 
+    /** Whether [run] is still unchecked. */
+    fun contains(run: AbandonedAttempt): Boolean = run in runs
+
     private fun expire(now: Duration) {
         while (runs.firstOrNull()?.let { now - it.abandonedAt > RETENTION } ?: return) runs.removeFirst()
     }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/CrashDetector.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/CrashDetector.kt
@@ -9,8 +9,10 @@
 import io.poplarwood.gateway.upstream.AvailabilityState
 import io.poplarwood.gateway.upstream.UpstreamRow
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -27,6 +29,7 @@
     private val announce: (fingerprint: Long, loss: CrashLoss) -> Unit,
 ) {
     private val abandonedRuns = AbandonedAttempts()
+    private var watchedCount = 0
 
     /** Records that an attempt at [row] of a request with [fingerprint], running since [since], lost its connection. */
     fun linkLost(row: UpstreamRow, fingerprint: Long, since: Duration, now: Duration) {
@@ -41,8 +44,29 @@
 
     /** Records that a request with [fingerprint] ended while [row] was still running it. */
     fun requestAbandoned(row: UpstreamRow, fingerprint: Long, since: Duration, now: Duration) {
-        val abandonedBefore = abandonedRuns.add(AbandonedAttempt(fingerprint, row.id, since, now))
-        if (abandonedBefore || crashes.lossCount(fingerprint) > 0) checkAbandonedRuns(row, now)
+        val run = AbandonedAttempt(fingerprint, row.id, since, now)
+        val abandonedBefore = abandonedRuns.add(run)
+        if (abandonedBefore || crashes.lossCount(fingerprint) > 0) watch(row, run)
+    }
+
+    /** Checks [row] repeatedly, since it may crash some time after [run] was abandoned. */
+    private fun watch(row: UpstreamRow, run: AbandonedAttempt) {
+        checkAbandonedRuns(row, run.abandonedAt)
+        if (watchedCount >= MAX_WATCHED) return
+        watchedCount++
+        scope.launch {
+            try {
+                repeat(RECHECKS) {
+                    delay(RECHECK_INTERVAL)
+                    if (!abandonedRuns.contains(run)) return@launch
+                    if (!livenessCheck.isKnownRunning(row) && livenessCheck.hasEnded(row)) {
+                        recordAbandonedLosses(row, ticker.now())
+                    }
+                }
+            } finally {
+                watchedCount--
+            }
+        }
     }
 
     /** Records that a request with [fingerprint] was answered at [now]; returns the number of losses cleared. */
@@ -75,6 +99,13 @@
 
     private companion object {
         /** An upstream that ends later than this after a request was abandoned is not a loss under that request. */
-        val ABANDONED_LOSS_WINDOW = 1.seconds
+        val ABANDONED_LOSS_WINDOW = 2.seconds
+
+        /** Checks within [ABANDONED_LOSS_WINDOW]; each of them takes about 100 ms itself. */
+        val RECHECK_INTERVAL = 500.milliseconds
+        const val RECHECKS = 3
+
+        /** Limits the connections that checks open while many callers disconnect. */
+        const val MAX_WATCHED = 32
     }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/LivenessCheck.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/LivenessCheck.kt
@@ -37,6 +37,9 @@
         return reachesOtherUpstream(row)
     }
 
+    /** Whether [row] answered or reported its load so lately that a check is needless. */
+    fun isKnownRunning(row: UpstreamRow): Boolean = reportedSince(row, ticker.now() - MAX_UPDATE_DELAY * 2)
+
     /** Whether [row] answered this entry, or reported its load to any entry, later than [after]. */
     private fun reportedSince(row: UpstreamRow, after: Duration) = maxOf(row.slownessAt, row.lastAnswerAt) > after
 
