Take a refused connection as proof that an upstream has ended

Cause: where no upstream accepted a connection, the entry took itself to be cut off and forgot the losses. But a refusal comes from the VM of the upstream, so the path is fine: it now confirms the loss. Only silence is still held against the entry's own path, as long as no other upstream accepts a connection.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnectionPool.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnectionPool.kt
@@ -4,11 +4,13 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.poplarwood.api.time.Ticker
 import kotlinx.coroutines.suspendCancellableCoroutine
+import java.net.ConnectException
 import java.net.InetSocketAddress
 import kotlin.coroutines.resume
 import kotlin.time.Duration
@@ -47,11 +49,12 @@
         }
     }
 
-    /** Whether [address] accepts a connection. The connection opened for the check is added to the pool. */
-    suspend fun canConnect(address: String): Boolean {
-        val connection = connect(address) ?: return false
+    /** Tries to open a connection to [address], and adds it to the pool. */
+    suspend fun tryConnect(address: String): ConnectResult {
+        var result = ConnectResult.SILENT
+        val connection = connect(address) { result = it } ?: return result
         addIdle(address, connection)
-        return true
+        return ConnectResult.ACCEPTED
     }
 
     /** Closes the idle connections to [address]. */
@@ -62,7 +65,7 @@
     /** Closes idle connections that their upstream is about to close. */
     fun closeExpired() = idle.values.forEach { it.closeExpired(ticker.now()) }
 
-    private suspend fun connect(address: String): UpstreamConnection? {
+    private suspend fun connect(address: String, onFailure: (ConnectResult) -> Unit = {}): UpstreamConnection? {
         onConnect()
         return suspendCancellableCoroutine { continuation ->
             var connection: UpstreamConnection? = null
@@ -86,6 +89,7 @@
             continuation.invokeOnCancellation { future.channel().close() }
             future.addListener { attempt ->
                 if (!continuation.isActive) return@addListener
+                attempt.cause()?.let { onFailure(resultOf(it)) }
                 val connected = connection?.takeIf { attempt.isSuccess }
                 if (connected != null) open.getOrPut(address) { HashSet() } += connected
                 continuation.resume(connected) { _, unused, _ -> unused?.close() }
@@ -93,6 +97,11 @@
         }
     }
 
+    private fun resultOf(failure: Throwable): ConnectResult {
+        val refused = failure is ConnectException && failure !is ConnectTimeoutException
+        return if (refused) ConnectResult.REFUSED else ConnectResult.SILENT
+    }
+
     private fun addIdle(address: String, connection: UpstreamConnection) =
         idle.getOrPut(address) { IdleConnections(MAX_IDLE_PER_UPSTREAM) }.add(connection)
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -161,7 +161,7 @@
     }
     private val entryRegistration =
         EntryRegistration(store, settings.entry, record, peerTable, ticker, crashRecords, log)
-    private val livenessCheck = LivenessCheck(upstreamLinks::canConnect, upstreams, ticker, scope)
+    private val livenessCheck = LivenessCheck(upstreamLinks::tryConnect, upstreams, ticker, scope)
     private val crashDetector =
         CrashDetector(decisions.crashSuspects, livenessCheck, random, ticker, scope, peers.crashGossip::announceLoss)
     private val attemptFeedback = AttemptFeedback(decisions, loadBoard, crashDetector, availability, log)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/LivenessCheck.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/LivenessCheck.kt
@@ -1,6 +1,7 @@
 package io.poplarwood.gateway.runtime
 
 import io.poplarwood.api.time.Ticker
+import io.poplarwood.gateway.http.ConnectResult
 import io.poplarwood.gateway.upstream.UpstreamRow
 import io.poplarwood.gateway.upstream.UpstreamTable
 import kotlinx.coroutines.CoroutineScope
@@ -14,10 +15,10 @@
  * Distinguishes an upstream that has ended from one that only lost a connection: a running upstream accepts new
  * connections.
  *
- * @param acceptsConnection whether a connection to an `ip:port` can be opened
+ * @param tryConnect tries to open a connection to an `ip:port`
  */
 internal class LivenessCheck(
-    private val acceptsConnection: suspend (address: String) -> Boolean,
+    private val tryConnect: suspend (address: String) -> ConnectResult,
     private val upstreams: UpstreamTable,
     private val ticker: Ticker,
     private val scope: CoroutineScope,
@@ -33,8 +34,10 @@
         delay(SETTLE_TIME)
         val registered = upstreams[row.id]
         if (registered != null && registered !== row) return true
-        if (acceptsConnection(row.record.address) || reportedSince(row, startedAt + MAX_UPDATE_DELAY)) return false
-        return reachesOtherUpstream(row)
+        val result = tryConnect(row.record.address)
+        if (result == ConnectResult.ACCEPTED || reportedSince(row, startedAt + MAX_UPDATE_DELAY)) return false
+        // A refusal comes from the VM of the upstream, so this entry is not cut off from it.
+        return result == ConnectResult.REFUSED || reachesOtherUpstream(row)
     }
 
     /** Whether [row] answered or reported its load so lately that a check is needless. */
@@ -46,7 +49,7 @@
     /** Whether any other upstream accepts a connection; if none does, this entry itself is cut off. */
     private suspend fun reachesOtherUpstream(row: UpstreamRow): Boolean =
         upstreams.all.filter { it !== row && it.availability.failures == 0 }.sortedByDescending { it.lastAnswerAt }
-            .take(MAX_OTHERS_TRIED).any { acceptsConnection(it.record.address) }
+            .take(MAX_OTHERS_TRIED).any { tryConnect(it.record.address) == ConnectResult.ACCEPTED }
 
     private companion object {
         /** An upstream that ends closes its other connections and its listening port within this time of the first. */
