--- a/bench/src/main/kotlin/io/poplarwood/bench/limits/LimitsBench.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/limits/LimitsBench.kt
@@ -15,7 +15,7 @@
 /** Upstreams that name a rate limit for all entries together, over real connections: how it is kept and used. */
 class LimitsBench : Bench {
     override val name: String = "limits"
-    override val summary: String = "rate limits that all entries share: most in four seconds, share used, what callers get"
+    override val summary: String = "rate limits that all entries share: how they are kept and used, what callers get"
 
     override suspend fun run(options: BenchOptions): BenchReport = withContext(Dispatchers.IO) {
         val rows = LimitCase.ALL.map { it to run(it, if (options.quick) QUICK_MS else FULL_MS) }
