--- a/gateway/src/main/kotlin/io/poplarwood/gateway/limit/PermitIssuer.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/limit/PermitIssuer.kt
@@ -3,6 +3,7 @@
 import io.poplarwood.gateway.counter.SlidingWindowCounter
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Issues permits to send requests at a rate that many senders share. Each key [K] has its own rate and is issued by a
@@ -32,7 +33,7 @@
         val account = accounts.getOrPut(key) { Account(now) }
         account.usedAt = now
         val previous = account.requests.firstOrNull { it.asker == request.asker }
-        account.requests -= setOfNotNull(previous)
+        if (previous != null) account.requests -= previous
         account.requests += if (previous == null) request else request.copy(waitsSince = previous.waitsSince)
         accounts.values.removeIf { now - it.usedAt > RETENTION }
     }
@@ -91,6 +92,8 @@
         const val UNSEEN_BUCKETS = 5
         val MIN_INTERVAL = 5.milliseconds
         val WINDOW_POLL_INTERVAL = 50.milliseconds
-        val RETENTION = 10_000.milliseconds
+
+        /** Time after which a key that nobody asks for is forgotten. */
+        val RETENTION = 10.seconds
     }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/limit/UpstreamPermits.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/limit/UpstreamPermits.kt
@@ -45,8 +45,8 @@
     }
 
     /**
-     * When a permit for one of [rows] is expected that is not needed for [ahead] earlier requests. Unless this entry
-     * has received more than an equal part of their rates lately, it expects an equal part.
+     * When this entry expects a permit for one of [rows], after those for [ahead] earlier requests. It expects an equal
+     * part of their rates, or what it has received lately if that is more.
      */
     fun expectedAt(rows: List<UpstreamRow>, ahead: Int, now: Duration): Duration {
         val askedAt = rows.mapNotNull { pool.unansweredSince(it.incarnation) }.maxOrNull()
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PermitExchange.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PermitExchange.kt
@@ -21,6 +21,7 @@
  *
  * @param send sends a message to the entry of the given name; delivery is not guaranteed
  * @param schedule runs an action after a delay
+ * @param count counts what becomes of permits
  * @param onReceived called after permits arrived that a queued request may use
  */
 internal class PermitExchange(
