Log how rows of the store travel between entries

Cause: an entry that fetches a desired state from a peer left no trace of it: neither a fetch without a reply, nor its size or duration, nor how many peers an entry answered at a time, nor how long decoding took. No logic changes.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerSync.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerSync.kt
@@ -1,5 +1,8 @@
 package io.poplarwood.gateway.peer
 
+import io.poplarwood.api.time.Ticker
+import io.poplarwood.gateway.log.EventLog
+import io.poplarwood.gateway.log.GatewayEvent
 import io.poplarwood.gateway.store.RowSnapshot
 import io.poplarwood.gateway.store.StateReplica
 import kotlinx.coroutines.CoroutineScope
@@ -9,6 +12,7 @@
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -24,8 +28,13 @@
     private val book: StateReplica,
     private val zone: String,
     private val scope: CoroutineScope,
+    private val ticker: Ticker,
+    private val log: EventLog,
 ) {
     private val cbor = Cbor { ignoreUnknownKeys = true }
+    private var replies = 0
+    private var replyBytes = 0L
+    private var encodeTime = Duration.ZERO
     private var scheduled = false
     private var fetching = false
 
@@ -40,7 +49,21 @@
                 book.upstreamVersion,
                 book.coveredVersion,
             )
-        return cbor.encodeToByteArray(snapshot)
+        val encodeStartedAt = ticker.now()
+        return cbor.encodeToByteArray(snapshot).also {
+            replies++
+            replyBytes += it.size
+            encodeTime += ticker.now() - encodeStartedAt
+        }
+    }
+
+    /** Logs what was sent to peers since the last call, if anything was. */
+    fun logReplies() {
+        if (replies == 0) return
+        log.log(GatewayEvent.PEER_REPLY, book.stateVersion, replies, replyBytes, encodeTime.inWholeMilliseconds)
+        replies = 0
+        replyBytes = 0
+        encodeTime = Duration.ZERO
     }
 
     /**
@@ -65,13 +88,23 @@
         fetching = true
         scope.launch {
             try {
-                fetch(peer.record.peers, query())?.let { merge(it, peer.name) }
+                fetchFrom(peer)
             } finally {
                 fetching = false
             }
         }
     }
 
+    private suspend fun fetchFrom(peer: PeerStatus) {
+        val knownVersion = book.stateVersion
+        val startedAt = ticker.now()
+        val body = fetch(peer.record.peers, query())
+        val result = if (body == null) "no-reply" else "received"
+        val tookMs = (ticker.now() - startedAt).inWholeMilliseconds
+        log.log(GatewayEvent.PEER_FETCH, peer.name, knownVersion, body?.size ?: 0, tookMs, result)
+        body?.let { merge(it, peer.name) }
+    }
+
     private fun query() = "${book.stateVersion}$SEPARATOR${book.upstreamVersion}"
 
     private fun hasNewer(peer: PeerStatus): Boolean {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -152,7 +152,7 @@
         availability,
         ticker,
     )
-    private val peerSync = PeerSync(::queryPeer, peerTable, stateBook, settings.zone, scope).also {
+    private val peerSync = PeerSync(::queryPeer, peerTable, stateBook, settings.zone, scope, ticker, log).also {
         peers.requestSync = it::scheduleSync
     }
     private val crashRecords = CrashRecordStore(store, peers.crashGossip, scope, log).also {
@@ -270,6 +270,7 @@
         while (true) {
             peers.tick()
             peerSync.syncIfBehind()
+            peerSync.logReplies()
             stateBook.removeExpired()
             upstreamLinks.closeExpired()
             delay(if (activeSet.active || !serving) ACTIVE_TASK_INTERVAL else STANDBY_TASK_INTERVAL)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateReplica.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateReplica.kt
@@ -135,6 +135,7 @@
     }
 
     private fun applyState(row: StoredRow, value: ByteArray, source: String) {
+        val decodeStartedAt = ticker.now()
         val next = codec.desiredState(value).getOrElse {
             log.log(GatewayEvent.STATE_UNREADABLE, it.detail, row.version)
             return
@@ -144,7 +145,16 @@
         stateVersion = row.version
         state = next
         routes = RouteTable(next.routes)
-        log.log(GatewayEvent.STATE_IN_FORCE, next.version, next.routes.size, source, row.version)
+        val decodeMs = (ticker.now() - decodeStartedAt).inWholeMilliseconds
+        log.log(
+            GatewayEvent.STATE_IN_FORCE,
+            next.version,
+            next.routes.size,
+            source,
+            row.version,
+            value.size,
+            decodeMs,
+        )
         notifyChanged()
     }
 
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedCluster.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedCluster.kt
@@ -136,7 +136,7 @@
             log,
         ) {}
 
-        val sync = PeerSync(::fetch, table, book, zone, scope)
+        val sync = PeerSync(::fetch, table, book, zone, scope, ticker, log)
 
         private val availability =
             AvailabilityTracker(upstreams, random, log, { peers.loadGossip.scheduleUpdate(it) }) {}
