Send configurations as changes in pieces, to a bounded number of entries at a time

Cause: a version travelled whole to every entry, all asked the same peer, and a reply over 500 ms was lost from its first byte on. Change: routes in a table that versions share; a change holds what was added or removed, compressed, in pieces of at most 400 routes; a sender serves as many entries as its link bears and refers the others to entries it has served; a piece that does not come is taken from another sender; decoding and encoding run on a background thread.

--- /dev/null
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/Configuration.kt
@@ -0,0 +1,13 @@
+package io.poplarwood.gateway.configuration
+
+import io.poplarwood.gateway.route.DesiredState
+
+/** A desired state and the [storeVersion] of its row. */
+internal class Configuration(val state: DesiredState, val storeVersion: Long) {
+    /** The same desired state, which shares the routes that did not change with [earlier]. */
+    fun sharing(earlier: Configuration?): Configuration {
+        val before = earlier?.state?.routes ?: return this
+        val routes = before.change(state.routes.removedSince(before), state.routes.addedSince(before))
+        return Configuration(state.copy(routes = routes), storeVersion)
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/ConfigurationFetcher.kt
@@ -0,0 +1,127 @@
+package io.poplarwood.gateway.configuration
+
+import io.poplarwood.api.random.RandomSource
+import io.poplarwood.api.time.Ticker
+import kotlinx.coroutines.delay
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Fetches the newest desired state from peers, piece by piece. A piece that does not arrive in time is requested from
+ * another peer; the pieces that have arrived are kept.
+ *
+ * @param ask sends a query to the peer at an address; null when it does not reply in time
+ * @param holders addresses of peers that are known to have a newer desired state than the given store version, those to
+ *   ask first at the front
+ */
+internal class ConfigurationFetcher(
+    private val self: String,
+    private val ask: suspend (address: String, query: TransferQuery) -> TransferReply?,
+    private val holders: (storeVersion: Long) -> List<String>,
+    private val history: ConfigurationHistory,
+    private val background: BackgroundWork,
+    private val random: RandomSource,
+    private val ticker: Ticker,
+    private val log: TransferLog,
+) {
+    private val avoidUntil = HashMap<String, Duration>()
+
+    /** Addresses that busy peers named, to be asked before others. */
+    private val referred = ArrayDeque<String>()
+
+    /**
+     * Fetches the newest desired state that a peer offers; null when none has a newer one, or when a newer one than the
+     * own arrived on another way meanwhile.
+     */
+    suspend fun fetch(): Fetched? {
+        val known = history.newest
+        val knownVersion = known?.storeVersion ?: 0
+        referred.clear()
+        while ((history.newest?.storeVersion ?: 0) == knownVersion) {
+            val peer = nextPeer(knownVersion) ?: return null
+            when (val reply = query(peer, TransferQuery(self, knownVersion, 0, 0))) {
+                is TransferReply.Piece -> complete(peer, reply, known)?.let { return it }
+                is TransferReply.Busy -> {
+                    referred.addAll(reply.holders.filter { it != self && it !in referred })
+                    if (referred.isEmpty()) delay(BUSY_PAUSE * (MIN_JITTER + random.nextDouble()))
+                }
+                TransferReply.Nothing -> avoid(peer, NOTHING_PAUSE)
+                null -> Unit
+            }
+        }
+        return null
+    }
+
+    /** Fetches the pieces after the [first] one, which [peer] has sent, and applies them all to [known]. */
+    private suspend fun complete(peer: String, first: TransferReply.Piece, known: Configuration?): Fetched? {
+        val startedAt = ticker.now()
+        if (first.from != 0L && first.from != known?.storeVersion) return null
+        val pieces = ArrayList<ByteArray>(first.count)
+        pieces += first.bytes
+        var source: String? = peer
+        while (pieces.size < first.count) {
+            if (source == null) {
+                if (ticker.now() - startedAt > RESUME_TIMEOUT) return null
+                delay(BUSY_PAUSE)
+            } else {
+                val reply = query(source, TransferQuery(self, first.from, first.to, pieces.size))
+                if (reply is TransferReply.Piece && reply.digest == first.digest) {
+                    pieces += reply.bytes
+                    continue
+                }
+                avoid(source, FAILURE_PAUSE)
+            }
+            source = nextPeer(first.to - 1)
+        }
+        val change = background.compute { ChangePieces.join(pieces, first.from, first.to, first.digest) }
+        val result = change?.let { background.compute { it.applyTo(known?.state) } }
+        if (result == null) {
+            log.failed(peer, "unreadable", ticker.now() - startedAt)
+            avoid(peer, FAILURE_PAUSE)
+            return null
+        }
+        log.received(source ?: peer, change, pieces.sumOf { it.size }, ticker.now() - startedAt)
+        return Fetched(result, source ?: peer)
+    }
+
+    private suspend fun query(peer: String, query: TransferQuery): TransferReply? {
+        val startedAt = ticker.now()
+        val reply = ask(peer, query)
+        if (reply == null) {
+            log.failed(peer, "no reply", ticker.now() - startedAt)
+            avoid(peer, FAILURE_PAUSE)
+        }
+        return reply
+    }
+
+    private fun avoid(peer: String, pause: Duration) {
+        avoidUntil[peer] = ticker.now() + pause
+    }
+
+    private fun nextPeer(storeVersion: Long): String? {
+        val now = ticker.now()
+        avoidUntil.values.removeIf { it <= now }
+        while (true) {
+            val peer = referred.removeFirstOrNull() ?: break
+            if (peer !in avoidUntil) return peer
+        }
+        return holders(storeVersion).firstOrNull { it !in avoidUntil }
+    }
+
+    private companion object {
+        /** A peer that did not reply is asked again after this time at the earliest. */
+        val FAILURE_PAUSE = 1_000.milliseconds
+
+        /** Time for which the pieces that have arrived are kept when no peer can send the others. */
+        val RESUME_TIMEOUT = 3_000.milliseconds
+
+        /** Time that a peer needs to apply a change that it has just received. */
+        val NOTHING_PAUSE = 100.milliseconds
+
+        /** Pause before a busy peer is asked again; the transfer of a few pieces takes about as long. */
+        val BUSY_PAUSE = 40.milliseconds
+
+        /** The jitter factor lies between this and 1.5. */
+        const val MIN_JITTER = 0.5
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/LoggedTransfers.kt
@@ -0,0 +1,41 @@
+package io.poplarwood.gateway.configuration
+
+import io.poplarwood.gateway.log.EventLog
+import io.poplarwood.gateway.log.GatewayEvent
+import kotlin.time.Duration
+
+/** Writes transfers to [log]; what was sent is summed up until [flush]. */
+internal class LoggedTransfers(private val log: EventLog) : TransferLog {
+    private var pieces = 0
+    private var bytes = 0L
+    private var busyReplies = 0
+
+    override fun encoded(change: ConfigurationChange, bytes: Int, took: Duration) =
+        log.log(GatewayEvent.STATE_ENCODED, change.from, change.to, bytes, took.inWholeMilliseconds)
+
+    override fun sent(bytes: Int) {
+        pieces++
+        this.bytes += bytes
+    }
+
+    override fun busy() {
+        busyReplies++
+    }
+
+    override fun received(peer: String, change: ConfigurationChange, bytes: Int, took: Duration) {
+        val routes = change.added.size + change.removed.size
+        log.log(GatewayEvent.STATE_FETCHED, peer, change.from, change.to, routes, bytes, took.inWholeMilliseconds)
+    }
+
+    override fun failed(peer: String, reason: String, took: Duration) =
+        log.log(GatewayEvent.FETCH_FAILED, peer, reason, took.inWholeMilliseconds)
+
+    /** Writes what was sent since the last call, if anything was. */
+    fun flush(storeVersion: Long) {
+        if (pieces + busyReplies == 0) return
+        log.log(GatewayEvent.STATE_SENT, storeVersion, pieces, bytes, busyReplies)
+        pieces = 0
+        bytes = 0
+        busyReplies = 0
+    }
+}
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/InternalListener.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/InternalListener.kt
@@ -18,15 +18,21 @@
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.launch
 
 /**
  * HTTP listener of the entry itself at [address] (`ip:port`), such as readiness, directory, peers or metrics. Replies
  * with what [respond] returns for the target of the request, whatever its method.
+ *
+ * @param scope in which replies that take longer are awaited; its dispatcher is the event loop of [group]
  */
 internal class InternalListener(
     private val group: EventLoopGroup,
     private val address: String,
-    private val respond: (target: String) -> InternalReply,
+    private val scope: CoroutineScope,
+    private val respond: suspend (target: String) -> InternalReply,
 ) {
     /** Binds [address]; throws if that fails. */
     suspend fun start() {
@@ -44,21 +50,20 @@
 
     private inner class RequestHandler : SimpleChannelInboundHandler<FullHttpRequest>() {
         override fun channelRead0(ctx: ChannelHandlerContext, msg: FullHttpRequest) {
-            val reply = if (msg.decoderResult().isFailure) {
-                InternalReply(
-                    BAD_REQUEST,
-                    TEXT_PLAIN,
-                    ByteArray(0),
-                )
-            } else {
-                respond(msg.uri())
+            val keepAlive = HttpUtil.isKeepAlive(msg)
+            if (msg.decoderResult().isFailure) {
+                return write(ctx, InternalReply(BAD_REQUEST, TEXT_PLAIN, ByteArray(0)), keepAlive = false)
             }
+            val target = msg.uri()
+            scope.launch(start = CoroutineStart.UNDISPATCHED) { write(ctx, respond(target), keepAlive) }
+        }
+
+        private fun write(ctx: ChannelHandlerContext, reply: InternalReply, keepAlive: Boolean) {
             val content = Unpooled.wrappedBuffer(reply.body)
             val status = HttpResponseStatus.valueOf(reply.status)
             val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content)
             response.headers().set(HttpHeaderNames.CONTENT_TYPE, reply.contentType)
             HttpUtil.setContentLength(response, reply.body.size.toLong())
-            val keepAlive = HttpUtil.isKeepAlive(msg)
             HttpUtil.setKeepAlive(response, keepAlive)
             val writeFuture = ctx.writeAndFlush(response)
             if (!keepAlive) writeFuture.addListener(ChannelFutureListener.CLOSE)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/route/Route.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/route/Route.kt
@@ -23,4 +23,7 @@
     val priority: Int,
     val maxAttempts: Int,
     val shares: ImmutableList<ServiceShare>,
-)
+) {
+    /** Identifies this route among those of a desired state. */
+    val key: RouteKey get() = RouteKey(host.lowercase(), prefix)
+}
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -27,7 +27,6 @@
 import io.poplarwood.gateway.peer.PeerGossip
 import io.poplarwood.gateway.peer.PeerRecord
 import io.poplarwood.gateway.peer.PeerSocket
-import io.poplarwood.gateway.peer.PeerSync
 import io.poplarwood.gateway.peer.PeerTable
 import io.poplarwood.gateway.peer.ProbeAssignment
 import io.poplarwood.gateway.route.CallerLimits
@@ -66,6 +65,7 @@
     private val eventLoopGroup = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val eventLoop = eventLoopGroup.next()
     private val scope = CoroutineScope(SupervisorJob() + eventLoop.asCoroutineDispatcher())
+    private val background = BackgroundThread()
     private val log = EventLog()
     private val metrics = GatewayMetrics()
     private val httpClient = EntryHttpClient(eventLoopGroup)
@@ -110,7 +110,7 @@
             BodyMemoryBudget(bodyMemoryBytes()),
             metrics::connectionOpened,
         )
-    private val stateBook: StateReplica = StateReplica(adapter.codec, upstreams, ticker, log, ::onStateChanged) {
+    private val stateBook: StateReplica = StateReplica(adapter.codec, upstreams, background, ticker, log, ::onStateChanged) {
         upstreamLinks.closeIdle(it.record.address)
     }
     private val peers: PeerGossip = PeerGossip(
@@ -152,7 +152,19 @@
         availability,
         ticker,
     )
-    private val peerSync = PeerSync(::queryPeer, peerTable, stateBook, settings.zone, scope, ticker, log).also {
+    private val stateExchange = StateExchange(
+        settings.entry,
+        record,
+        ::callPeer,
+        peerTable,
+        stateBook,
+        settings.limits.linkMbps,
+        background,
+        random,
+        scope,
+        ticker,
+        log,
+    ).also {
         peers.requestSync = it::scheduleSync
     }
     private val crashRecords = CrashRecordStore(store, peers.crashGossip, scope, log).also {
@@ -202,10 +214,10 @@
         supervise("upstreams") { followTopic(Topic.UPSTREAMS) }
         supervise("entries") { entryRegistration.registerAndReadPeers() }
         callerListener.start()
-        InternalListener(eventLoopGroup, settings.listen.readiness, entryReplies::readiness).start()
-        InternalListener(eventLoopGroup, settings.listen.directory, entryReplies::entries).start()
-        InternalListener(eventLoopGroup, settings.listen.peers, ::replyToPeer).start()
-        InternalListener(eventLoopGroup, settings.listen.metrics) {
+        InternalListener(eventLoopGroup, settings.listen.readiness, scope, entryReplies::readiness).start()
+        InternalListener(eventLoopGroup, settings.listen.directory, scope, entryReplies::entries).start()
+        InternalListener(eventLoopGroup, settings.listen.peers, scope, ::replyToPeer).start()
+        InternalListener(eventLoopGroup, settings.listen.metrics, scope) {
             InternalReply(OK, "text/plain", metrics.text())
         }.start()
         peerSocket.start()
@@ -240,6 +252,7 @@
     /** Closes everything at once; the addresses are free when it returns. */
     fun close() {
         scope.cancel()
+        background.close()
         eventLoopGroup.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly(CLOSE_TIMEOUT_MS)
     }
 
@@ -253,10 +266,11 @@
 
     private fun ownEntry() = ticker.now().let { OwnEntry(serving, it - createdAt, loadBoard.requestsPerS(it)) }
 
-    private suspend fun queryPeer(peer: String, query: String): ByteArray? =
-        httpClient.call(peer, "GET", STATE_PATH + query, null, PEER_QUERY_TIMEOUT)?.takeIf { it.status == OK }?.body
+    private suspend fun callPeer(peer: String, path: String): ByteArray? =
+        httpClient.call(peer, "GET", path, null, PEER_QUERY_TIMEOUT)?.takeIf { it.status == OK }?.body
 
-    private fun replyToPeer(target: String) = InternalReply(OK, CBOR, peerSync.reply(target.removePrefix(STATE_PATH)))
+    private suspend fun replyToPeer(target: String): InternalReply =
+        stateExchange.reply(target)?.let { InternalReply(OK, CBOR, it) } ?: InternalReply(NOT_FOUND, TEXT, ByteArray(0))
 
     private suspend fun runProbes() {
         while (true) {
@@ -269,8 +283,8 @@
     private suspend fun runPeriodicTasks() {
         while (true) {
             peers.tick()
-            peerSync.syncIfBehind()
-            peerSync.logReplies()
+            stateExchange.syncIfBehind()
+            stateExchange.logReplies()
             stateBook.removeExpired()
             upstreamLinks.closeExpired()
             delay(if (activeSet.active || !serving) ACTIVE_TASK_INTERVAL else STANDBY_TASK_INTERVAL)
@@ -313,11 +327,10 @@
 
     private companion object {
         const val OK = 200
+        const val NOT_FOUND = 404
         const val TEXT = "text/plain"
         const val CBOR = "application/cbor"
 
-        /** Path prefix on the peer listener under which an entry serves its copy of the store's state. */
-        const val STATE_PATH = "/state/"
         val PEER_QUERY_TIMEOUT = 500.milliseconds
 
         /** Limit on buffered request bodies, and separately on buffered answers, per megabyte of the VM's memory. */
--- /dev/null
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/StateExchange.kt
@@ -0,0 +1,118 @@
+package io.poplarwood.gateway.runtime
+
+import io.poplarwood.api.random.RandomSource
+import io.poplarwood.api.time.Ticker
+import io.poplarwood.gateway.configuration.BackgroundWork
+import io.poplarwood.gateway.configuration.ConfigurationFetcher
+import io.poplarwood.gateway.configuration.ConfigurationSender
+import io.poplarwood.gateway.configuration.LoggedTransfers
+import io.poplarwood.gateway.configuration.TransferQuery
+import io.poplarwood.gateway.configuration.TransferReply
+import io.poplarwood.gateway.configuration.TransferSlots
+import io.poplarwood.gateway.log.EventLog
+import io.poplarwood.gateway.peer.ConfigurationHolders
+import io.poplarwood.gateway.peer.ConfigurationSync
+import io.poplarwood.gateway.peer.PeerRecord
+import io.poplarwood.gateway.peer.PeerSync
+import io.poplarwood.gateway.peer.PeerTable
+import io.poplarwood.gateway.store.StateReplica
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.decodeFromByteArray
+import kotlinx.serialization.encodeToByteArray
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Exchange of the store's rows with other entries: desired states in pieces, registrations in one reply.
+ *
+ * @param call requests the given path from the peer at an address; null when the peer does not reply in time
+ * @param linkMbps bandwidth of this VM's link, in megabits per second
+ */
+internal class StateExchange(
+    self: String,
+    record: PeerRecord,
+    private val call: suspend (address: String, path: String) -> ByteArray?,
+    peers: PeerTable,
+    private val book: StateReplica,
+    linkMbps: Double,
+    background: BackgroundWork,
+    random: RandomSource,
+    private val scope: CoroutineScope,
+    ticker: Ticker,
+    log: EventLog,
+) {
+    private val cbor = Cbor { ignoreUnknownKeys = true }
+    private val transfers = LoggedTransfers(log)
+    private val holders = ConfigurationHolders(self, record.zone, peers)
+    private val sender = ConfigurationSender(
+        book.history,
+        TransferSlots(TransferSlots.forLink(linkMbps)),
+        { address -> peers.active.any { it.record.peers == address } },
+        background,
+        ticker,
+        transfers,
+    )
+    private val fetcher =
+        ConfigurationFetcher(record.peers, ::ask, holders::of, book.history, background, random, ticker, transfers)
+    private val configurations = ConfigurationSync(fetcher, holders, book, scope)
+    private val registrations =
+        PeerSync({ peer, query -> call(peer, REGISTRATIONS_PATH + query) }, peers, book, record.zone, scope, ticker, log)
+    private var scheduled = false
+
+    /**
+     * Fetches what is newer after a short delay, since updates of one change arrive from several entries; without a
+     * delay while this entry has no desired state.
+     */
+    fun scheduleSync() {
+        if (scheduled) return
+        scheduled = true
+        scope.launch {
+            if (book.state != null) delay(SYNC_DELAY)
+            scheduled = false
+            syncIfBehind()
+        }
+    }
+
+    /** Fetches what a peer is known to have in a newer version. */
+    fun syncIfBehind() {
+        configurations.syncIfBehind()
+        registrations.syncIfBehind()
+    }
+
+    /** Logs what was sent to peers since the last call, if anything was. */
+    fun logReplies() {
+        registrations.logReplies()
+        transfers.flush(book.stateVersion)
+    }
+
+    /** Reply to a peer's request for [path]; null when the path is something else. */
+    suspend fun reply(path: String): ByteArray? = when {
+        path.startsWith(REGISTRATIONS_PATH) -> registrations.reply(path.removePrefix(REGISTRATIONS_PATH))
+        path.startsWith(CONFIGURATION_PATH) -> TransferQuery.parse(path.removePrefix(CONFIGURATION_PATH))?.let {
+            cbor.encodeToByteArray<TransferReply>(sender.reply(it))
+        }
+        else -> null
+    }
+
+    private suspend fun ask(address: String, query: TransferQuery): TransferReply? {
+        val bytes = call(address, CONFIGURATION_PATH + query.encode()) ?: return null
+        return try {
+            cbor.decodeFromByteArray<TransferReply>(bytes)
+        } catch (e: SerializationException) {
+            null
+        } catch (e: IllegalArgumentException) {
+            null
+        }
+    }
+
+    private companion object {
+        const val REGISTRATIONS_PATH = "/state/"
+        const val CONFIGURATION_PATH = "/configuration/"
+
+        /** Updates of one change arrive from different entries within this time. */
+        val SYNC_DELAY = 50.milliseconds
+    }
+}
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateReplica.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateReplica.kt
@@ -1,7 +1,12 @@
 package io.poplarwood.gateway.store
 
 import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.map
 import io.poplarwood.api.time.Ticker
+import io.poplarwood.gateway.configuration.BackgroundWork
+import io.poplarwood.gateway.configuration.Configuration
+import io.poplarwood.gateway.configuration.ConfigurationHistory
+import io.poplarwood.gateway.configuration.compute
 import io.poplarwood.gateway.log.EventLog
 import io.poplarwood.gateway.log.GatewayEvent
 import io.poplarwood.gateway.route.DesiredState
@@ -16,12 +21,14 @@
  * This entry's copy of the store: the desired state in force and the registered upstreams. Updates from the store and
  * from peers are treated alike and never replace newer data.
  *
+ * @param background where desired states are decoded, which takes long when there are many routes
  * @param onChanged called after each change
  * @param onUnavailable called with each upstream that receives no more requests
  */
 internal class StateReplica(
     private val codec: StateCodec,
     private val upstreams: UpstreamTable,
+    private val background: BackgroundWork,
     private val ticker: Ticker,
     private val log: EventLog,
     private val onChanged: () -> Unit,
@@ -30,19 +37,18 @@
     private val upstreamRows = LinkedHashMap<String, StoredRow>()
     private val pendingRemoval = HashMap<String, Duration>()
     private val removedVersions = RecentVersions(MAX_REMOVED_VERSIONS)
-    private var stateRow: StoredRow? = null
+
+    /** The desired state in force and those before it. */
+    val history = ConfigurationHistory()
 
     /** The desired state in force; null until the first one has arrived. */
-    var state: DesiredState? = null
-        private set
+    val state: DesiredState? get() = history.newest?.state
 
     /** Routes of [state]; empty until the first one has arrived. */
-    var routes: RouteTable = RouteTable(emptyList())
-        private set
+    val routes: RouteTable get() = state?.routes ?: RouteTable.EMPTY
 
     /** Store version of the row of [state]. */
-    var stateVersion: Long = 0
-        private set
+    val stateVersion: Long get() = history.newest?.storeVersion ?: 0
 
     /** Store version of the newest change of a registration. */
     var upstreamVersion: Long = 0
@@ -62,12 +68,40 @@
     /** Until this time a missing registration may come back, because the store was unreachable lately. */
     var expiryGraceUntil: Duration = -Duration.INFINITE
 
-    /** Applies the row of the desired state unless it is older than the current one. */
-    fun applyState(rows: RowSnapshot, source: String) {
+    /** Decodes the rows of the desired state in the background and applies what is newer than the current one. */
+    suspend fun applyStateRows(rows: RowSnapshot, source: String) {
         for (row in rows.rows) {
             val value = row.value
-            if (value != null && row.version > stateVersion) applyState(row, value, source)
+            if (value != null && row.version > stateVersion) decode(row, value)?.let { applyState(it, source) }
+        }
+    }
+
+    /** Applies [next] unless it is older than the current desired state. */
+    fun applyState(next: Configuration, source: String) {
+        if (next.storeVersion <= stateVersion || next.state.version < (state?.version ?: 0)) return
+        history.add(next)
+        log.log(
+            GatewayEvent.STATE_IN_FORCE,
+            next.state.version,
+            next.state.routes.size,
+            source,
+            next.storeVersion,
+        )
+        notifyChanged()
+    }
+
+    private suspend fun decode(row: StoredRow, value: ByteArray): Configuration? {
+        val startedAt = ticker.now()
+        val earlier = history.newest
+        val decoded = background.compute {
+            codec.desiredState(value).map { Configuration(it, row.version).sharing(earlier) }
+        }
+        val configuration = decoded.getOrElse {
+            log.log(GatewayEvent.STATE_UNREADABLE, it.detail, row.version)
+            return null
         }
+        log.log(GatewayEvent.STATE_DECODED, row.version, value.size, (ticker.now() - startedAt).inWholeMilliseconds)
+        return configuration
     }
 
     /**
@@ -126,38 +160,14 @@
         }
     }
 
-    /** The row of the desired state and all registrations, for a peer. */
-    fun snapshot(): Pair<StoredRow?, List<StoredRow>> = stateRow to upstreamRows.values.toList()
+    /** All registrations, for a peer. */
+    fun upstreamSnapshot(): List<StoredRow> = upstreamRows.values.toList()
 
     private fun notifyChanged() {
         if (state != null && upstreamVersion > 0) initialized.complete(Unit)
         onChanged()
     }
 
-    private fun applyState(row: StoredRow, value: ByteArray, source: String) {
-        val decodeStartedAt = ticker.now()
-        val next = codec.desiredState(value).getOrElse {
-            log.log(GatewayEvent.STATE_UNREADABLE, it.detail, row.version)
-            return
-        }
-        if (next.version < (state?.version ?: 0)) return
-        stateRow = row
-        stateVersion = row.version
-        state = next
-        routes = RouteTable(next.routes)
-        val decodeMs = (ticker.now() - decodeStartedAt).inWholeMilliseconds
-        log.log(
-            GatewayEvent.STATE_IN_FORCE,
-            next.version,
-            next.routes.size,
-            source,
-            row.version,
-            value.size,
-            decodeMs,
-        )
-        notifyChanged()
-    }
-
     private fun applyUpstream(row: StoredRow, source: String) {
         val current = upstreamRows[row.key]
         if (maxOf(current?.version ?: 0, removedVersions[row.key]) >= row.version) return
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateWatcher.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateWatcher.kt
@@ -82,10 +82,10 @@
         return false
     }
 
-    private fun apply(rows: RowSnapshot, full: Boolean) {
+    private suspend fun apply(rows: RowSnapshot, full: Boolean) {
         val versionBefore = if (topic == Topic.UPSTREAMS) book.upstreamVersion else version
         when (topic) {
-            Topic.DESIRED_STATE -> book.applyState(rows, "store")
+            Topic.DESIRED_STATE -> book.applyStateRows(rows, "store")
             Topic.UPSTREAMS -> {
                 if (full) book.applyAllUpstreams(rows, "store") else book.applyUpstreamChanges(rows, version, "store")
                 book.confirm(ticker.now())
--- /dev/null
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/configuration/ConfigurationFetcherSpec.kt
@@ -0,0 +1,108 @@
+package io.poplarwood.gateway.configuration
+
+import io.poplarwood.api.random.SplitMix
+import io.poplarwood.api.time.Ticker
+import io.poplarwood.gateway.support.NoTransferLog
+import io.poplarwood.gateway.support.configuration
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import kotlin.time.Duration.Companion.milliseconds
+
+class ConfigurationFetcherSpec {
+    private val own = ConfigurationHistory().apply { add(configuration(1, routes = 10)) }
+    private val newer = ConfigurationHistory().apply {
+        add(configuration(1, routes = 10))
+        add(configuration(2, routes = 2_000))
+    }
+    private val asked = ArrayList<Pair<String, TransferQuery>>()
+    private var holders = listOf("p", "q")
+
+    /** What a peer does instead of answering as it should. */
+    private var disturbance: suspend (peer: String, query: TransferQuery) -> TransferReply? =
+        { peer, query -> senders.getValue(peer).reply(query) }
+    private lateinit var senders: Map<String, ConfigurationSender>
+
+    private fun TestScope.fetcher(): ConfigurationFetcher {
+        val ticker = Ticker { testScheduler.currentTime.milliseconds }
+        senders = listOf("p", "q", "r").associateWith {
+            ConfigurationSender(newer, TransferSlots(2), { false }, { it() }, ticker, NoTransferLog)
+        }
+        return ConfigurationFetcher(
+            "self",
+            { peer, query ->
+                asked += peer to query
+                delay(5.milliseconds)
+                disturbance(peer, query)
+            },
+            { holders },
+            own,
+            { it() },
+            SplitMix(1),
+            ticker,
+            NoTransferLog,
+        )
+    }
+
+    private fun askedOf(peer: String) = asked.filter { it.first == peer }.map { it.second.index }
+
+    @Nested
+    inner class `a fetch` {
+        @Test
+        fun `takes all pieces from one peer`() = runTest {
+            assertEquals(2_000, fetcher().fetch()?.configuration?.state?.routes?.size)
+            assertEquals(listOf(0, 1, 2, 3, 4), askedOf("p"))
+        }
+
+        /** Guards against a transfer that begins again from its first byte at the peer that did not send it. */
+        @Test
+        fun `goes on at another peer with the piece that is missing`() = runTest {
+            val fetcher = fetcher()
+            disturbance = { peer, query ->
+                if (peer == "p" && query.index == 2) null else senders.getValue(peer).reply(query)
+            }
+            assertEquals(2_000, fetcher.fetch()?.configuration?.state?.routes?.size)
+            assertEquals(listOf(2, 3, 4), askedOf("q"))
+        }
+
+        /** Guards against entries that all wait for the same sender. */
+        @Test
+        fun `follows a busy peer to one that it has served`() = runTest {
+            val fetcher = fetcher()
+            disturbance = { peer, query ->
+                if (peer == "r") senders.getValue(peer).reply(query) else TransferReply.Busy(listOf("r"))
+            }
+            assertEquals(2_000, fetcher.fetch()?.configuration?.state?.routes?.size)
+            assertEquals(1, askedOf("p").size)
+        }
+
+        @Test
+        fun `asks a busy peer again after a pause`() = runTest {
+            val fetcher = fetcher()
+            holders = listOf("p")
+            disturbance = { peer, query ->
+                if (asked.size < 5) TransferReply.Busy(emptyList()) else senders.getValue(peer).reply(query)
+            }
+            assertEquals(2_000, fetcher.fetch()?.configuration?.state?.routes?.size)
+        }
+
+        /** Guards against a fetch that never ends when peers announce what they do not send. */
+        @Test
+        fun `ends when no peer has what was announced`() = runTest {
+            val fetcher = fetcher()
+            disturbance = { _, _ -> TransferReply.Nothing }
+            assertNull(fetcher.fetch())
+        }
+
+        @Test
+        fun `from an entry that knows a version too old for a change takes the whole`() = runTest {
+            val fetcher = fetcher()
+            own.add(configuration(1, routes = 3).let { Configuration(it.state, 15) })
+            assertEquals(2_000, fetcher.fetch()?.configuration?.state?.routes?.size)
+        }
+    }
+}
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedCluster.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedCluster.kt
@@ -14,8 +14,10 @@
 import io.poplarwood.gateway.metrics.GatewayMetrics
 import io.poplarwood.gateway.route.CallerLimits
 import io.poplarwood.gateway.route.DesiredState
+import io.poplarwood.gateway.route.RouteTable
 import io.poplarwood.gateway.runtime.AvailabilityTracker
 import io.poplarwood.gateway.runtime.RateLimiting
+import io.poplarwood.gateway.runtime.StateExchange
 import io.poplarwood.gateway.store.StateCodec
 import io.poplarwood.gateway.store.StateReplica
 import io.poplarwood.gateway.store.StateWatcher
@@ -27,7 +29,6 @@
 import io.poplarwood.gateway.upstream.Upstream
 import io.poplarwood.gateway.upstream.UpstreamRow
 import io.poplarwood.gateway.upstream.UpstreamTable
-import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
@@ -92,7 +93,7 @@
 
     private suspend fun fetch(peer: String, query: String): ByteArray? {
         delay(DATAGRAM_TIME * 2)
-        return byName.getValue(peer).sync.reply(query)
+        return byName.getValue(peer).exchange.reply(query)
     }
 
     private fun send(message: PeerMessage, to: List<String>) {
@@ -122,7 +123,7 @@
         val roles = ActiveEntries(name, record, table) { OwnEntry(serving, ticker.now() - startedAt, requestsPerS) }
         val upstreams = UpstreamTable()
         val crashes = CrashSuspects()
-        val book: StateReplica = StateReplica(TextCodec, upstreams, ticker, log, { peers.serving = serving }, {})
+        val book: StateReplica = StateReplica(TextCodec, upstreams, { it() }, ticker, log, { peers.serving = serving }, {})
         private val serving: Boolean get() = book.state != null && upstreams.all.isNotEmpty()
         val peers: PeerGossip = PeerGossip(
             ::sendUnlessStopped,
@@ -136,7 +137,8 @@
             log,
         ) {}
 
-        val sync = PeerSync(::fetch, table, book, zone, scope, ticker, log)
+        val exchange =
+            StateExchange(name, record, ::fetch, table, book, LINK_MBPS, { it() }, random, scope, ticker, log)
 
         private val availability =
             AvailabilityTracker(upstreams, random, log, { peers.loadGossip.scheduleUpdate(it) }) {}
@@ -147,7 +149,7 @@
         private val queue = SlotQueue(Placement(Zone(zone), random), upstreams, limiting.permits)
 
         init {
-            peers.requestSync = sync::scheduleSync
+            peers.requestSync = exchange::scheduleSync
             peers.loadGossip = LoadGossip(
                 upstreams,
                 ticker,
@@ -202,7 +204,7 @@
             scope.launch {
                 while (!ended) {
                     peers.tick()
-                    sync.syncIfBehind()
+                    exchange.syncIfBehind()
                     delay(if (roles.active) ACTIVE_TICK else STANDBY_TICK)
                 }
             }
@@ -212,13 +214,14 @@
     /** The value of a row is the version of a desired state or the state of an upstream, as text. */
     private object TextCodec : StateCodec {
         override fun desiredState(value: ByteArray): Result<DesiredState, StoreError.Malformed> =
-            Ok(DesiredState(value.decodeToString().toLong(), persistentMapOf(), persistentListOf(), CallerLimits()))
+            Ok(DesiredState(value.decodeToString().toLong(), persistentMapOf(), RouteTable.EMPTY, CallerLimits()))
 
         override fun upstream(key: String, value: ByteArray): Result<Upstream, StoreError.Malformed> =
             Ok(upstream(key, draining = value.decodeToString() == "draining"))
     }
 
     private companion object {
+        const val LINK_MBPS = 100.0
         val DATAGRAM_TIME: Duration = 2.milliseconds
         val ACTIVE_TICK: Duration = 100.milliseconds
         val STANDBY_TICK: Duration = 250.milliseconds
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/route/RouteTableSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/route/RouteTableSpec.kt
@@ -4,10 +4,11 @@
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertNotEquals
 import kotlin.test.assertNull
 
 class RouteTableSpec {
-    private val table = RouteTable(
+    private val table = RouteTable.of(
         listOf(route("/"), route("/a/"), route("/a/b/"), route("/x/", host = "b.example")),
     )
 
@@ -37,4 +38,34 @@
         @Test
         fun `that is unknown matches no route`() = assertNull(table.find("c.example", "/"))
     }
+
+    @Nested
+    inner class `a change` {
+        private val changed = table.change(listOf(RouteKey("a.example", "/a/")), listOf(route("/y/"), route("/", "s2" to 1)))
+
+        /** Guards against routes that stay in force after they were removed, or keep earlier settings. */
+        @Test
+        fun `removes, replaces and adds routes`() {
+            assertEquals("/", changed.find("a.example", "/a/x")?.prefix)
+            assertEquals("s2", changed.find("a.example", "/")?.shares?.single()?.service?.value)
+            assertEquals("/y/", changed.find("a.example", "/y/z")?.prefix)
+            assertEquals(table.size, changed.size)
+        }
+
+        @Test
+        fun `leaves the earlier table as it was`() = assertEquals("/a/", table.find("a.example", "/a/x")?.prefix)
+
+        /** Guards against tables that are equal at two entries and are taken for different. */
+        @Test
+        fun `has the digest of a table that was built at once`() {
+            assertEquals(RouteTable.of(changed.all().toList().reversed()).digest, changed.digest)
+            assertNotEquals(table.digest, changed.digest)
+        }
+
+        @Test
+        fun `is what two tables differ by`() {
+            assertEquals(setOf("/y/", "/"), changed.addedSince(table).map { it.prefix }.toSet())
+            assertEquals(listOf(RouteKey("a.example", "/a/")), changed.removedSince(table))
+        }
+    }
 }
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/store/StateReplicaSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/store/StateReplicaSpec.kt
@@ -7,11 +7,12 @@
 import io.poplarwood.gateway.log.EventLog
 import io.poplarwood.gateway.route.CallerLimits
 import io.poplarwood.gateway.route.DesiredState
+import io.poplarwood.gateway.route.RouteTable
 import io.poplarwood.gateway.support.upstream
 import io.poplarwood.gateway.upstream.Upstream
 import io.poplarwood.gateway.upstream.UpstreamTable
-import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -25,13 +26,13 @@
     private var now: Duration = 100.seconds
     private val upstreams = UpstreamTable()
     private val unavailable = ArrayList<String>()
-    private val book = StateReplica(Codec, upstreams, Ticker { now }, EventLog(), {}, { unavailable += it.id })
+    private val book = StateReplica(Codec, upstreams, { it() }, Ticker { now }, EventLog(), {}, { unavailable += it.id })
 
     /** The value of a row is the version of a desired state or the state of an upstream, as text. */
     private object Codec : StateCodec {
         override fun desiredState(value: ByteArray): Result<DesiredState, StoreError.Malformed> {
             val version = value.decodeToString().toLongOrNull() ?: return Err(StoreError.Malformed("not a number"))
-            return Ok(DesiredState(version, persistentMapOf(), persistentListOf(), CallerLimits()))
+            return Ok(DesiredState(version, persistentMapOf(), RouteTable.EMPTY, CallerLimits()))
         }
 
         override fun upstream(key: String, value: ByteArray): Result<Upstream, StoreError.Malformed> =
@@ -44,10 +45,9 @@
 
     private fun row(key: String, value: String?, version: Long) = StoredRow(key, value?.encodeToByteArray(), version)
 
-    private fun state(value: String, version: Long) = book.applyState(
-        RowSnapshot(listOf(row("c", value, version)), version),
-        "s",
-    )
+    private fun state(value: String, version: Long) = runBlocking {
+        book.applyStateRows(RowSnapshot(listOf(row("c", value, version)), version), "s")
+    }
 
     @Nested
     inner class `a desired state` {
