Count transfers of configurations, and announce a new version at once

Cause: an entry that takes callers told others of a new version at its next tick, up to 100 ms later; transfers left logs only. Change: announced when applied; counters of transfers and bytes.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/GatewayMetrics.kt
@@ -23,6 +23,13 @@
             "Permits for upstreams with a rate limit, by what became of them.",
             "event",
         )
+    private val transfers = counter(
+        "poplarwood_gateway_configuration_transfers",
+        "Transfers of configuration changes between entries, by what became of them.",
+        "event",
+    )
+    private val transferBytes =
+        counter("poplarwood_gateway_configuration_bytes", "Bytes of configuration changes sent and received.", "event")
     private val latency = Histogram.builder().name("poplarwood_gateway_latency").unit(Unit.SECONDS)
         .help("Time from a request's head to its answer.").labelNames("priority").classicOnly()
         .classicUpperBounds(*LATENCY_BOUNDS_S).register(registry)
@@ -31,6 +38,16 @@
 
     private val permitsByEvent = PermitEvent.entries.map { permits.labelValues(it.name.lowercase()) }
 
+    private val transfersByEvent = TransferEvent.entries.map { transfers.labelValues(it.name.lowercase()) }
+    private val transferBytesByEvent = listOf(TransferEvent.SENT, TransferEvent.RECEIVED)
+        .associateWith { transferBytes.labelValues(it.name.lowercase()) }
+
+    /** Counts a transfer of [bytes] of a configuration change, and what became of it. */
+    fun transferred(event: TransferEvent, bytes: Int = 0) {
+        transfersByEvent[event.ordinal].inc()
+        transferBytesByEvent[event]?.inc(bytes.toDouble())
+    }
+
     /** Counts what became of a permit. */
     fun permitChanged(event: PermitEvent) = permitsByEvent[event.ordinal].inc()
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
@@ -96,6 +96,11 @@
         log.log(GatewayEvent.ROLES_CHANGED, record.zone, roles.selected.joinToString(" "), roles.active)
     }
 
+    /** Announces a new desired state of this entry at once, so that others need not wait for the next heartbeat. */
+    fun announceState() {
+        if (schedule.wide && book.stateVersion != announcedVersions.first) sendHeartbeats()
+    }
+
     /** Sends heartbeats now. */
     fun sendHeartbeats() {
         val now = ticker.now()
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -164,6 +164,7 @@
         scope,
         ticker,
         log,
+        metrics,
     ).also {
         peers.requestSync = it::scheduleSync
     }
@@ -303,6 +304,7 @@
     private fun onStateChanged() {
         splitPicker.reset()
         dispatchQueued()
+        peers.announceState()
         if (peers.serving || !serving) return
         peers.serving = true
         val readyMs = sinceStart().inWholeMilliseconds
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/StateExchange.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/StateExchange.kt
@@ -5,11 +5,11 @@
 import io.poplarwood.gateway.configuration.BackgroundWork
 import io.poplarwood.gateway.configuration.ConfigurationFetcher
 import io.poplarwood.gateway.configuration.ConfigurationSender
-import io.poplarwood.gateway.configuration.LoggedTransfers
 import io.poplarwood.gateway.configuration.TransferQuery
 import io.poplarwood.gateway.configuration.TransferReply
 import io.poplarwood.gateway.configuration.TransferSlots
 import io.poplarwood.gateway.log.EventLog
+import io.poplarwood.gateway.metrics.GatewayMetrics
 import io.poplarwood.gateway.peer.ConfigurationHolders
 import io.poplarwood.gateway.peer.ConfigurationSync
 import io.poplarwood.gateway.peer.PeerRecord
@@ -43,9 +43,10 @@
     private val scope: CoroutineScope,
     ticker: Ticker,
     log: EventLog,
+    metrics: GatewayMetrics,
 ) {
     private val cbor = Cbor { ignoreUnknownKeys = true }
-    private val transfers = LoggedTransfers(log)
+    private val transfers = TransferRecorder(log, metrics)
     private val holders = ConfigurationHolders(self, record.zone, peers)
     private val sender = ConfigurationSender(
         book.history,
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/LoggedTransfers.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/TransferRecorder.kt
@@ -1,11 +1,18 @@
-package io.poplarwood.gateway.configuration
+package io.poplarwood.gateway.runtime
 
+import io.poplarwood.gateway.configuration.ConfigurationChange
+import io.poplarwood.gateway.configuration.TransferLog
 import io.poplarwood.gateway.log.EventLog
 import io.poplarwood.gateway.log.GatewayEvent
+import io.poplarwood.gateway.metrics.GatewayMetrics
+import io.poplarwood.gateway.metrics.TransferEvent
 import kotlin.time.Duration
 
-/** Writes transfers to [log]; what was sent is summed up until [flush]. */
-internal class LoggedTransfers(private val log: EventLog) : TransferLog {
+/** Writes transfers to [log] and counts them; what was sent is logged as a sum at each [flush]. */
+internal class TransferRecorder(
+    private val log: EventLog,
+    private val metrics: GatewayMetrics,
+) : TransferLog {
     private var pieces = 0
     private var bytes = 0L
     private var busyReplies = 0
@@ -16,19 +23,24 @@
     override fun sent(bytes: Int) {
         pieces++
         this.bytes += bytes
+        metrics.transferred(TransferEvent.SENT, bytes)
     }
 
     override fun busy() {
         busyReplies++
+        metrics.transferred(TransferEvent.BUSY)
     }
 
     override fun received(peer: String, change: ConfigurationChange, bytes: Int, took: Duration) {
+        metrics.transferred(TransferEvent.RECEIVED, bytes)
         val routes = change.added.size + change.removed.size
         log.log(GatewayEvent.STATE_FETCHED, peer, change.from, change.to, routes, bytes, took.inWholeMilliseconds)
     }
 
-    override fun failed(peer: String, reason: String, took: Duration) =
+    override fun failed(peer: String, reason: String, took: Duration) {
+        metrics.transferred(TransferEvent.FAILED)
         log.log(GatewayEvent.FETCH_FAILED, peer, reason, took.inWholeMilliseconds)
+    }
 
     /** Writes what was sent since the last call, if anything was. */
     fun flush(storeVersion: Long) {
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedCluster.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedCluster.kt
@@ -123,7 +123,7 @@
         val roles = ActiveEntries(name, record, table) { OwnEntry(serving, ticker.now() - startedAt, requestsPerS) }
         val upstreams = UpstreamTable()
         val crashes = CrashSuspects()
-        val book: StateReplica = StateReplica(TextCodec, upstreams, { it() }, ticker, log, { peers.serving = serving }, {})
+        val book: StateReplica = StateReplica(TextCodec, upstreams, { it() }, ticker, log, ::onStateChanged, {})
         private val serving: Boolean get() = book.state != null && upstreams.all.isNotEmpty()
         val peers: PeerGossip = PeerGossip(
             ::sendUnlessStopped,
@@ -138,7 +138,20 @@
         ) {}
 
         val exchange =
-            StateExchange(name, record, ::fetch, table, book, LINK_MBPS, { it() }, random, scope, ticker, log)
+            StateExchange(
+                name,
+                record,
+                ::fetch,
+                table,
+                book,
+                LINK_MBPS,
+                { it() },
+                random,
+                scope,
+                ticker,
+                log,
+                GatewayMetrics(),
+            )
 
         private val availability =
             AvailabilityTracker(upstreams, random, log, { peers.loadGossip.scheduleUpdate(it) }) {}
@@ -160,6 +173,11 @@
             peers.onPermitMessage = limiting.exchange::receive
         }
 
+        private fun onStateChanged() {
+            peers.serving = serving
+            peers.announceState()
+        }
+
         private fun sendUnlessStopped(message: PeerMessage, to: List<String>) {
             if (name !in stopped && !ended) send(message, to)
         }
