Limit calls to the store by their progress

Cause: a call to the store had one limit in all (1 s for a read, the long-poll time and 400 ms for changes). 600 KB at 7 Mbit/s take 0.7 s: a follower with such a link received most of the answer, counted the store as lost and began again with the first byte. Change: a read ends when its head does not arrive in that time, when no byte arrives for 400 ms after it, or after 10 s in all. A callback says when an answer with rows begins to arrive. The body is collected in pieces. Calls to peers, probes and writes keep one limit in all.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/EntryHttpClient.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/EntryHttpClient.kt
@@ -10,14 +10,22 @@
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
-import io.netty.handler.codec.http.FullHttpResponse
 import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
-import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
 import kotlinx.coroutines.CancellableContinuation
+import kotlinx.coroutines.async
+import kotlinx.coroutines.cancelChildren
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.suspendCancellableCoroutine
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.coroutines.resume
@@ -37,8 +45,7 @@
      * Calls [method] [path] at [address] (`ip:port`) with a JSON [body]. Returns null if no complete reply was received
      * within [timeout]; the call may have taken effect all the same.
      *
-     * @param maxReplyBytes a reply with a longer body counts as no reply; a reused connection keeps the limit of the
-     *   call that opened it
+     * @param maxReplyBytes a reply with a longer body counts as no reply
      */
     suspend fun call(
         address: String,
@@ -48,32 +55,81 @@
         timeout: Duration,
         maxReplyBytes: Int = MAX_REPLY_BYTES,
     ): HttpReply? = withTimeoutOrNull(timeout) {
-        val connection = idle[address]?.removeLastOrNull()?.takeIf { it.open } ?: connect(address, maxReplyBytes)
-        connection?.call(address, method, path, body)
+        exchange(address, request(address, method, path, body), ReplyCollector(maxReplyBytes) {})
     }
 
-    private suspend fun ClientConnection.call(
+    /**
+     * Gets [path] at [address] (`ip:port`) within limits on the progress of the reply, so that a large reply over a slow
+     * link is received whole. Returns null if no complete reply was received.
+     *
+     * @param onBody called with the length of the body, as far as it is known, when the head arrives and with each piece
+     *   of the body
+     * @param maxReplyBytes a reply with a longer body counts as no reply
+     */
+    suspend fun get(
         address: String,
-        method: String,
         path: String,
-        body: ByteArray?,
-    ): HttpReply? =
-        suspendCancellableCoroutine { continuation ->
-            continuation.invokeOnCancellation { close() }
-            send(address, method, path, body) { reply ->
-                if (reply != null && open) idle.getOrPut(address) { ArrayDeque() }.addLast(this)
+        limits: CallLimits,
+        maxReplyBytes: Int = MAX_REPLY_BYTES,
+        onBody: (Long) -> Unit = {},
+    ): HttpReply? = withTimeoutOrNull(limits.total) {
+        coroutineScope {
+            val collector = ReplyCollector(maxReplyBytes, onBody)
+            val reply = async { exchange(address, request(address, "GET", path, null), collector) }
+            val stalled = launch { awaitStall(collector, limits) }
+            select<HttpReply?> {
+                reply.onAwait { it }
+                stalled.onJoin { null }
+            }.also { coroutineContext.cancelChildren() }
+        }
+    }
+
+    /** Returns when the head has not arrived in time, or no byte for the stall limit after it. */
+    private suspend fun awaitStall(collector: ReplyCollector, limits: CallLimits) {
+        withTimeoutOrNull(limits.head) { collector.headArrived.join() } ?: return
+        var known = collector.arrivals
+        var checksWithoutBytes = 0
+        while (checksWithoutBytes < STALL_CHECKS) {
+            delay(limits.stall / STALL_CHECKS)
+            checksWithoutBytes = if (collector.arrivals == known) checksWithoutBytes + 1 else 0
+            known = collector.arrivals
+        }
+    }
+
+    private fun request(address: String, method: String, path: String, body: ByteArray?): DefaultFullHttpRequest {
+        val content = Unpooled.wrappedBuffer(body ?: ByteArray(0))
+        val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), path, content)
+        request.headers().set(HttpHeaderNames.HOST, address)
+        if (body != null) {
+            request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json")
+            HttpUtil.setContentLength(request, body.size.toLong())
+        }
+        return request
+    }
+
+    private suspend fun exchange(
+        address: String,
+        request: DefaultFullHttpRequest,
+        collector: ReplyCollector,
+    ): HttpReply? {
+        val connection = idle[address]?.removeLastOrNull()?.takeIf { it.open } ?: connect(address) ?: return null
+        return suspendCancellableCoroutine { continuation ->
+            continuation.invokeOnCancellation { connection.close() }
+            connection.send(request, collector) { reply ->
+                if (reply != null && connection.open) idle.getOrPut(address) { ArrayDeque() }.addLast(connection)
                 if (continuation.isActive) continuation.resume(reply)
             }
         }
+    }
 
-    private suspend fun connect(address: String, maxReplyBytes: Int): ClientConnection? =
-        suspendCancellableCoroutine { connect(address, maxReplyBytes, it) }
+    private suspend fun connect(address: String): ClientConnection? =
+        suspendCancellableCoroutine { connect(address, it) }
 
-    private fun connect(address: String, maxReplyBytes: Int, continuation: CancellableContinuation<ClientConnection?>) {
+    private fun connect(address: String, continuation: CancellableContinuation<ClientConnection?>) {
         val connection = ClientConnection()
         val initializer = object : ChannelInitializer<Channel>() {
             override fun initChannel(channel: Channel) {
-                channel.pipeline().addLast(HttpClientCodec(), HttpObjectAggregator(maxReplyBytes), connection)
+                channel.pipeline().addLast(HttpClientCodec(), connection)
             }
         }
         val future = bootstrap.clone().handler(initializer).connect(UpstreamConnectionPool.socketAddress(address))
@@ -81,22 +137,17 @@
         future.addListener { if (continuation.isActive) continuation.resume(connection.takeIf { _ -> it.isSuccess }) }
     }
 
-    private class ClientConnection : SimpleChannelInboundHandler<FullHttpResponse>() {
+    private class ClientConnection : SimpleChannelInboundHandler<HttpObject>() {
         private var channel: Channel? = null
+        private var collector: ReplyCollector? = null
         private var pendingReply: ((HttpReply?) -> Unit)? = null
         private var keepAlive = true
 
         val open: Boolean get() = keepAlive && channel?.isActive ?: false
 
-        fun send(address: String, method: String, path: String, body: ByteArray?, onReply: (HttpReply?) -> Unit) {
+        fun send(request: DefaultFullHttpRequest, replyCollector: ReplyCollector, onReply: (HttpReply?) -> Unit) {
             pendingReply = onReply
-            val content = Unpooled.wrappedBuffer(body ?: ByteArray(0))
-            val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), path, content)
-            request.headers().set(HttpHeaderNames.HOST, address)
-            if (body != null) {
-                request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json")
-                HttpUtil.setContentLength(request, body.size.toLong())
-            }
+            collector = replyCollector
             channel?.writeAndFlush(request)
         }
 
@@ -110,21 +161,35 @@
             channel = ctx.channel()
         }
 
-        override fun channelRead0(ctx: ChannelHandlerContext, msg: FullHttpResponse) {
-            val body = ByteArray(msg.content().readableBytes())
-            msg.content().readBytes(body)
-            keepAlive = keepAlive && HttpUtil.isKeepAlive(msg) && pendingReply != null
-            if (!keepAlive) ctx.close()
-            complete(HttpReply(msg.status().code(), body, msg.headers()))
+        override fun channelRead0(ctx: ChannelHandlerContext, msg: HttpObject) {
+            val reply = collector
+            if (reply == null || pendingReply == null || !collect(reply, msg)) return abandon(ctx)
+            if (msg is LastHttpContent) {
+                if (!keepAlive) ctx.close()
+                collector = null
+                complete(reply.reply())
+            }
         }
 
-        override fun channelInactive(ctx: ChannelHandlerContext) = complete(null)
+        /** Adds [msg] to [reply]; returns false if the reply cannot be used. */
+        private fun collect(reply: ReplyCollector, msg: HttpObject): Boolean {
+            if (msg.decoderResult().isFailure) return false
+            if (msg is HttpResponse) {
+                keepAlive = keepAlive && HttpUtil.isKeepAlive(msg)
+                if (!reply.begin(msg, HttpUtil.getContentLength(msg, 0L))) return false
+            }
+            return msg !is HttpContent || reply.add(msg)
+        }
 
-        override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
+        private fun abandon(ctx: ChannelHandlerContext) {
             keepAlive = false
             ctx.close()
         }
 
+        override fun channelInactive(ctx: ChannelHandlerContext) = complete(null)
+
+        override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) = abandon(ctx)
+
         private fun complete(reply: HttpReply?) {
             val callback = pendingReply
             pendingReply = null
@@ -135,5 +200,11 @@
     private companion object {
         const val CONNECT_TIMEOUT_MS = 300
         const val MAX_REPLY_BYTES = 16 * 1024 * 1024
+
+        /**
+         * The arrival of bytes is checked this often within the stall limit, so that one pause of the event loop does not
+         * end a call whose bytes are waiting in the socket.
+         */
+        const val STALL_CHECKS = 4
     }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateStore.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateStore.kt
@@ -3,16 +3,31 @@
 import com.github.michaelbull.result.Result
 import kotlin.time.Duration
 
-/** The calls to the store that an entry needs. Each call ends within its timeout. */
+/**
+ * The calls to the store that an entry needs. Each call ends in time: a read fails with [StoreError.NoAnswer] when its
+ * answer does not begin to arrive or stops arriving, so that a large answer over a slow link does not count as none.
+ */
 interface StateStore {
-    /** All rows of [topic], as a consistent snapshot. */
-    suspend fun read(topic: Topic): Result<RowSnapshot, StoreError>
+    /**
+     * All rows of [topic], as a consistent snapshot.
+     *
+     * @param onArriving called when an answer with rows begins to arrive
+     */
+    suspend fun read(topic: Topic, onArriving: () -> Unit = {}): Result<RowSnapshot, StoreError>
 
     /**
-     * Long poll: rows of [topic] that changed after version [after], as soon as there is one, or none after [wait]. The
-     * call fails with [StoreError.NoAnswer] after [limit].
+     * Long poll: rows of [topic] that changed after version [after], as soon as there is one, or none after [wait].
+     *
+     * @param limit time until the answer has to begin to arrive, with [wait]
+     * @param onArriving called when an answer with rows begins to arrive
      */
-    suspend fun changes(topic: Topic, after: Long, wait: Duration, limit: Duration): Result<RowSnapshot, StoreError>
+    suspend fun changes(
+        topic: Topic,
+        after: Long,
+        wait: Duration,
+        limit: Duration,
+        onArriving: () -> Unit = {},
+    ): Result<RowSnapshot, StoreError>
 
     /** Writes the row [key] of [Topic.ENTRIES]. */
     suspend fun putEntryRow(key: String, value: ByteArray): Result<Unit, StoreError>
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateWatcher.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateWatcher.kt
@@ -141,7 +141,7 @@
          */
         val LONG_POLL_WAIT = 800.milliseconds
 
-        /** Time allowed for an answer in addition to the long-poll time of the call; doubles with each failed call. */
+        /** Time allowed until an answer begins, in addition to the call's long-poll time; doubles with each failed call. */
         val RESPONSE_MARGIN = 400.milliseconds
         val MAX_RESPONSE_MARGIN = 1_600.milliseconds
 
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedStore.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedStore.kt
@@ -44,7 +44,7 @@
 
     /** The store as the entry named [entry] reaches it. */
     fun of(entry: String): StateStore = object : StateStore {
-        override suspend fun read(topic: Topic): Result<RowSnapshot, StoreError> =
+        override suspend fun read(topic: Topic, onArriving: () -> Unit): Result<RowSnapshot, StoreError> =
             answer(CALL_TIMEOUT) { RowSnapshot(rows.getValue(topic).values.filter { it.value != null }, version) }
 
         override suspend fun changes(
@@ -52,6 +52,7 @@
             after: Long,
             wait: Duration,
             limit: Duration,
+            onArriving: () -> Unit,
         ): Result<RowSnapshot, StoreError> {
             var waited = Duration.ZERO
             while (entry !in downFor && waited < wait && changedAfter(topic, after).isEmpty()) {
