Let further entries follow the store while a follower reads for long

Cause: two entries follow the store for all. While a newer desired state takes seconds to arrive at them, nobody else looks, and every entry waits for the slow links of two. Change: a follower to which rows of the desired state have been arriving says so in its heartbeats (rm, in milliseconds), at the tick after it begins and at the one after it ends; an answer that arrives between two ticks costs no heartbeat. FollowerSelection no longer counts a peer that has been reading for over 250 ms among those that precede, so that the next entries that take callers follow too, one pair after another.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
@@ -64,6 +64,7 @@
         "bytes",
         "encodeMs",
     ),
+    STORE_SLOW(6117, Level.INFO, "rows of the store took long to arrive", "topic", "tookMs", "result"),
     UPSTREAM_KNOWN(
         6301,
         Level.INFO,
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/FollowerSelection.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/FollowerSelection.kt
@@ -7,7 +7,8 @@
 /**
  * Selects the entries that follow the store for all: a few that the store answers, of different zones where possible.
  * The load on the store does not grow with the number of entries, and the loss of one follower does not interrupt the
- * updates.
+ * updates. While a follower takes long to read a desired state, the next entry follows too, since the link of a follower
+ * may be slow.
  *
  * An entry whose data was not confirmed lately queries the store itself, whatever other entries report, because the
  * store may refuse some entries. In an outage every entry would do so, hence the rate is shared among all entries.
@@ -18,13 +19,21 @@
      *
      * @param active whether this entry takes callers; standby entries do not follow the store
      * @param answers whether the store answers this entry
+     * @param now reading of this entry's ticker
      * @param staleness time since the data of this entry was confirmed to be the newest
      */
-    fun mode(peers: Collection<PeerStatus>, active: Boolean, answers: Boolean, staleness: Duration): FollowMode {
+    fun mode(
+        peers: Collection<PeerStatus>,
+        active: Boolean,
+        answers: Boolean,
+        now: Duration,
+        staleness: Duration,
+    ): FollowMode {
         val others = peers.filter { peer -> peer.active && peer.hello?.stopping == false }
         val reachingStore = others.filter { it.hello?.storeAnswers ?: false }
         val competitors = if (answers || reachingStore.isNotEmpty()) reachingStore else others
-        val selected = active && (answers || reachingStore.isEmpty()) && precedingCount(competitors) < FOLLOWER_COUNT
+        val preceding = precedingCount(competitors.filter { it.readingTime(now) <= MAX_READING_TIME })
+        val selected = active && (answers || reachingStore.isEmpty()) && preceding < FOLLOWER_COUNT
         return when {
             selected -> FollowMode.QUICK
             staleness > MAX_STALENESS -> FollowMode.SHARED
@@ -47,6 +56,9 @@
     private companion object {
         const val FOLLOWER_COUNT = 2
 
+        /** Over a sound link a desired state arrives sooner. */
+        val MAX_READING_TIME = 250.milliseconds
+
         /** A call of a follower ends within a second, and its next heartbeat then confirms the versions. */
         val MAX_STALENESS = 1_500.milliseconds
     }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
@@ -49,6 +49,9 @@
 
     private val unansweredTopics = EnumSet.noneOf(Topic::class.java)
     private val followerSelection = FollowerSelection(self, record.zone)
+    /** Since when a newer desired state has been arriving from the store; null while none is. */
+    private var readingSince: Duration? = null
+    private var readingAnnounced = false
     private var lastHeartbeatAt = -Duration.INFINITE
 
     /** Whether a heartbeat is sent at the next tick instead of at the end of the interval. */
@@ -74,7 +77,8 @@
         detectSilent(ticker.now())
         refreshRoles()
         val period = if (schedule.wide) HeartbeatPlan.ACTIVE_PERIOD else HeartbeatPlan.STANDBY_PERIOD
-        if (heartbeatDue || versionsChanged() || ticker.now() - lastHeartbeatAt >= period) sendHeartbeats()
+        val due = heartbeatDue || versionsChanged() || readingChanged() || ticker.now() - lastHeartbeatAt >= period
+        if (due) sendHeartbeats()
         nextTick.complete(Unit)
         nextTick = CompletableDeferred()
     }
@@ -83,6 +87,9 @@
 
     private fun versionsChanged() = schedule.wide && versions() != announcedVersions
 
+    /** An answer that arrives whole between two ticks is not announced. */
+    private fun readingChanged() = schedule.wide && (readingSince != null) != readingAnnounced
+
     private fun detectSilent(now: Duration) {
         for (peer in table.markSilent(now)) {
             log.log(GatewayEvent.PEER_SILENT, peer.name, (now - peer.lastSeenAt).inWholeMilliseconds)
@@ -102,6 +109,7 @@
         lastHeartbeatAt = now
         heartbeatDue = false
         announcedVersions = versions()
+        readingAnnounced = readingSince != null
         for (batch in schedule.due()) {
             val load = if (batch.withLoad) loadGossip.fullState() else null
             send(heartbeat(now, batch.period, load), batch.recipients)
@@ -126,6 +134,7 @@
         active = roles.active,
         zoneActive = if (roles.active) roles.selected else emptyList(),
         crashes = crashGossip.digest,
+        readingMs = readingSince?.let { maxOf((now - it).inWholeMilliseconds, 1) } ?: 0,
         everyMs = period.inWholeMilliseconds.toInt(),
         load = load,
     )
@@ -139,7 +148,12 @@
 
     override fun mode(): FollowMode {
         if (stopping) return FollowMode.NONE
-        return followerSelection.mode(table.live, roles.active, storeAnswers, ticker.now() - book.confirmedAt)
+        val now = ticker.now()
+        return followerSelection.mode(table.live, roles.active, storeAnswers, now, now - book.confirmedAt)
+    }
+
+    override fun rowsArriving(topic: Topic, arriving: Boolean) {
+        if (topic == Topic.DESIRED_STATE) readingSince = if (arriving) ticker.now() else null
     }
 
     override fun storeAnswered(topic: Topic, answered: Boolean) {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
@@ -32,6 +32,8 @@
      * @property zoneActive names of all entries that take callers of the sender's zone, the zone leader first
      * @property everyMs time until the next heartbeat to the receiver, in milliseconds
      * @property crashes digest of the crash records that the sender has
+     * @property readingMs time for which a newer desired state has been arriving at the sender from the store, in
+     * milliseconds; 0 while none is
      * @property load in-flight requests of the sender at upstreams; null where the receiver takes no requests
      */
     @Serializable
@@ -55,6 +57,7 @@
         @SerialName("za") val zoneActive: List<String> = emptyList(),
         @SerialName("i") val everyMs: Int = INITIAL_INTERVAL_MS,
         @SerialName("k") val crashes: Long = 0,
+        @SerialName("rm") val readingMs: Long = 0,
         @SerialName("l") val load: List<UpstreamLoad>? = null,
     ) : PeerMessage
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerStatus.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerStatus.kt
@@ -26,6 +26,12 @@
      */
     val silenceTimeout: Duration get() = (hello?.everyMs?.milliseconds ?: INITIAL_INTERVAL) * MISSED_INTERVALS
 
+    /** Time for which a newer desired state has been arriving at the peer from the store; zero while none is. */
+    fun readingTime(now: Duration): Duration {
+        val atHeartbeat = hello?.readingMs ?: 0
+        return if (atHeartbeat > 0) atHeartbeat.milliseconds + (now - lastSeenAt) else Duration.ZERO
+    }
+
     fun toCandidate(): ActiveCandidate {
         val warm = (hello?.upMs ?: 0).milliseconds >= WARM_UP_TIME
         return ActiveCandidate(name, record.callers, warm, record.capacity, hello?.requestsPerS ?: 0)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/FollowCoordinator.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/FollowCoordinator.kt
@@ -15,6 +15,9 @@
     /** Records whether the store answered the last call about [topic]. */
     fun storeAnswered(topic: Topic, answered: Boolean)
 
+    /** Records whether an answer with rows of [topic] is arriving from the store. */
+    fun rowsArriving(topic: Topic, arriving: Boolean)
+
     /**
      * Store version up to which this entry has the rows of [topic], whether they came from the store or from a peer.
      */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateWatcher.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateWatcher.kt
@@ -36,7 +36,7 @@
     /** Reads all rows of the topic; retries until a read succeeds. */
     suspend fun readSnapshot() {
         while (true) {
-            val rows = handleResult(store.read(topic))
+            val rows = handleResult(observeArrival { store.read(topic, it) })
             if (rows != null) return apply(rows, full = true)
             awaitRetry()
         }
@@ -53,7 +53,7 @@
             // The first call does not wait, so that it shows at once whether the store answers this entry.
             val wait = if (hasPolled && unansweredSince == null) LONG_POLL_WAIT else Duration.ZERO
             hasPolled = true
-            val result = store.changes(topic, version, wait, wait + responseMargin)
+            val result = observeArrival { store.changes(topic, version, wait, wait + responseMargin, it) }
             if (result.getError() == StoreError.HistoryGone) {
                 readSnapshot()
                 continue
@@ -68,6 +68,29 @@
         }
     }
 
+    /** Makes a [call] and tells other entries while an answer with rows is arriving. */
+    private suspend fun observeArrival(
+        call: suspend (onArriving: () -> Unit) -> Result<RowSnapshot, StoreError>,
+    ): Result<RowSnapshot, StoreError> {
+        var arrivingSince: Duration? = null
+        try {
+            val result = call {
+                arrivingSince = ticker.now()
+                coordinator.rowsArriving(topic, true)
+            }
+            arrivingSince?.let { logSlowArrival(ticker.now() - it, result) }
+            return result
+        } finally {
+            coordinator.rowsArriving(topic, false)
+        }
+    }
+
+    private fun logSlowArrival(took: Duration, result: Result<RowSnapshot, StoreError>) {
+        if (took < SLOW_ARRIVAL) return
+        val outcome = result.getError() ?: "received"
+        log.log(GatewayEvent.STORE_SLOW, topic, took.inWholeMilliseconds, outcome)
+    }
+
     /** Returns true when this entry is to call the store now; otherwise suspends until the mode may have changed. */
     private suspend fun awaitPollDue(): Boolean {
         if (unansweredSince != null) return true
@@ -145,6 +168,9 @@
         val RESPONSE_MARGIN = 400.milliseconds
         val MAX_RESPONSE_MARGIN = 1_600.milliseconds
 
+        /** An answer that takes longer to arrive is logged. */
+        val SLOW_ARRIVAL = 250.milliseconds
+
         /** Changes come in groups; one call fetches those that follow within this time. */
         val BATCH_DELAY = 150.milliseconds
         val INITIAL_BACKOFF = 50.milliseconds
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedStore.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedStore.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
 import io.poplarwood.gateway.store.RowSnapshot
 import io.poplarwood.gateway.store.StateStore
 import io.poplarwood.gateway.store.StoreError
@@ -20,6 +21,9 @@
     /** Names of entries whose calls time out. */
     val downFor = HashSet<String>()
 
+    /** Time that an answer with the desired state takes to arrive, by entry name; [Duration.INFINITE] when it stalls. */
+    val arrivalTime = HashMap<String, Duration>()
+
     /** Version up to which the change history has been dropped. */
     private var historyStart = 0L
 
@@ -46,6 +50,7 @@
     fun of(entry: String): StateStore = object : StateStore {
         override suspend fun read(topic: Topic, onArriving: () -> Unit): Result<RowSnapshot, StoreError> =
             answer(CALL_TIMEOUT) { RowSnapshot(rows.getValue(topic).values.filter { it.value != null }, version) }
+                .arriving(topic, onArriving)
 
         override suspend fun changes(
             topic: Topic,
@@ -61,6 +66,20 @@
             }
             if (after < historyStart && entry !in downFor) return Err(StoreError.HistoryGone)
             return answer(limit - waited) { RowSnapshot(changedAfter(topic, after), version) }
+                .arriving(topic, onArriving)
+        }
+
+        private suspend fun Result<RowSnapshot, StoreError>.arriving(
+            topic: Topic,
+            onArriving: () -> Unit,
+        ): Result<RowSnapshot, StoreError> {
+            val time = arrivalTime[entry] ?: Duration.ZERO
+            if (topic != Topic.DESIRED_STATE || get()?.rows.isNullOrEmpty()) return this
+            onArriving()
+            delay(minOf(time, STALL_LIMIT))
+            if (time == Duration.INFINITE) return Err(StoreError.NoAnswer)
+            delay(time - minOf(time, STALL_LIMIT))
+            return this
         }
 
         override suspend fun putEntryRow(key: String, value: ByteArray): Result<Unit, StoreError> = answer(
@@ -86,5 +105,6 @@
     private companion object {
         val STEP = 4.milliseconds
         val CALL_TIMEOUT = 1_000.milliseconds
+        val STALL_LIMIT = 400.milliseconds
     }
 }
--- /dev/null
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SlowFollowersSpec.kt
@@ -0,0 +1,81 @@
+package io.poplarwood.gateway.peer
+
+import io.poplarwood.api.time.Ticker
+import io.poplarwood.gateway.store.Topic
+import kotlinx.coroutines.cancelChildren
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+/** Entries that follow the store over links that are slow or stop carrying bytes, in virtual time. */
+class SlowFollowersSpec {
+    private val store = SimulatedStore()
+
+    /** Longest time until all entries have a new desired state, over the seeds, while [arrivalTime] holds for some. */
+    private fun worstTime(perZone: Int, arrivalTime: Duration, affected: (List<String>) -> List<String>): Duration =
+        SEEDS.maxOf { time(perZone, it, arrivalTime, affected) }
+
+    private fun time(
+        perZone: Int,
+        seed: Long,
+        arrivalTime: Duration,
+        affected: (List<String>) -> List<String>,
+    ): Duration {
+        var elapsed = Duration.ZERO
+        store.arrivalTime.clear()
+        runTest(timeout = 5.minutes) {
+            store.put(Topic.DESIRED_STATE, "c", "1")
+            store.put(Topic.UPSTREAMS, "u1", "ready")
+            val ticker = Ticker { testScheduler.currentTime.milliseconds }
+            val cluster = SimulatedCluster(backgroundScope, ticker, store, ZONES, perZone, seed)
+            cluster.start()
+            delay(STARTUP_TIME + (seed * 70).milliseconds)
+            val slow = affected(cluster.entries.filter { it.roles.active }.map { it.name }.sorted())
+            for (name in slow) store.arrivalTime[name] = arrivalTime
+            store.put(Topic.DESIRED_STATE, "c", "2")
+            val from = testScheduler.currentTime
+            while (cluster.entries.any { it.book.state?.version != 2L } && testScheduler.currentTime - from < MAX_WAIT_MS) {
+                delay(STEP)
+            }
+            elapsed = (testScheduler.currentTime - from).milliseconds
+            backgroundScope.coroutineContext.cancelChildren()
+        }
+        return elapsed
+    }
+
+    private fun firstOfEachZone(names: List<String>) = names.groupBy { it.substringBefore('-') }.values.map { it.first() }
+
+    @Nested
+    inner class `a new desired state` {
+        /** Guards against entries that all wait for the slow links of the two that follow the store. */
+        @Test
+        fun `reaches all in time when the links of the first followers are slow`() {
+            val worst = worstTime(perZone = 12, arrivalTime = 4.seconds, ::firstOfEachZone)
+            assertTrue(worst < BOUND, "took $worst")
+        }
+
+        /** Guards against entries that all wait for followers whose connections stop in the middle of an answer. */
+        @Test
+        fun `reaches all in time when the answers to the first followers stall`() {
+            val worst = worstTime(perZone = 12, arrivalTime = Duration.INFINITE, ::firstOfEachZone)
+            assertTrue(worst < BOUND, "took $worst")
+        }
+    }
+
+    private companion object {
+        val ZONES = listOf("a", "b", "c", "d")
+        val SEEDS = 1L..10L
+        const val MAX_WAIT_MS = 20_000
+        val STARTUP_TIME = 8.seconds
+        val STEP = 10.milliseconds
+
+        /** Time within which a new desired state has to be in force. */
+        val BOUND = 2.5.seconds
+    }
+}
