--- a/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
@@ -85,6 +85,7 @@
         "tookMs",
     ),
     FETCH_FAILED(6111, Level.WARN, "another entry did not send a requested piece", "peer", "reason", "tookMs"),
+    STORE_SLOW(6117, Level.INFO, "rows of the store took long to arrive", "topic", "tookMs", "result"),
     UPSTREAM_KNOWN(
         6301,
         Level.INFO,
