Reproduce late versions of large configurations in virtual time

Cause: the whole version travels to each entry, all entries of a zone ask the same peer, and a reply that takes over 500 ms is lost and starts again from its first byte. Simulated entries had no links and a state of one byte, so no test saw it. Change: entries of SimulatedCluster have a link each, on which peer replies and store answers take their size; links are unlimited unless set. An entry can be isolated, and an ended incarnation no longer uses the link of its successor.

--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedCluster.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedCluster.kt
@@ -1,7 +1,5 @@
 package io.poplarwood.gateway.peer
 
-import com.github.michaelbull.result.Ok
-import com.github.michaelbull.result.Result
 import io.poplarwood.api.id.Zone
 import io.poplarwood.api.random.SplitMix
 import io.poplarwood.api.time.Ticker
@@ -12,30 +10,29 @@
 import io.poplarwood.gateway.directory.OwnEntry
 import io.poplarwood.gateway.log.EventLog
 import io.poplarwood.gateway.metrics.GatewayMetrics
-import io.poplarwood.gateway.route.CallerLimits
-import io.poplarwood.gateway.route.DesiredState
 import io.poplarwood.gateway.runtime.AvailabilityTracker
 import io.poplarwood.gateway.runtime.RateLimiting
-import io.poplarwood.gateway.store.StateCodec
 import io.poplarwood.gateway.store.StateReplica
 import io.poplarwood.gateway.store.StateWatcher
-import io.poplarwood.gateway.store.StoreError
 import io.poplarwood.gateway.store.Topic
-import io.poplarwood.gateway.support.upstream
 import io.poplarwood.gateway.upstream.AvailabilityState
 import io.poplarwood.gateway.upstream.LimitObservation
-import io.poplarwood.gateway.upstream.Upstream
 import io.poplarwood.gateway.upstream.UpstreamRow
 import io.poplarwood.gateway.upstream.UpstreamTable
-import kotlinx.collections.immutable.persistentListOf
-import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.plus
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Entries that share a store and exchange messages, in virtual time. A datagram takes [DATAGRAM_TIME]. */
+/**
+ * Entries that share a store and exchange messages, in virtual time. A datagram takes [DATAGRAM_TIME]; a peer's reply
+ * takes its size on the [links] as well.
+ */
 internal class SimulatedCluster(
     private val scope: CoroutineScope,
     private val ticker: Ticker,
@@ -52,6 +49,11 @@
     /** Names of entries that have stopped; they neither send nor receive datagrams. */
     val stopped = HashSet<String>()
 
+    /** Names of entries that exchange neither datagrams nor replies with others. */
+    val isolated = HashSet<String>()
+
+    val links = SimulatedLinks(ticker).also { store.links = it }
+
     /** Share of datagrams that is lost, 0.0 to 1.0. */
     var loss = 0.0
 
@@ -83,25 +85,36 @@
     /** Ends the entry [name] without a graceful stop and starts it again after [downtime]. */
     suspend fun restart(name: String, downtime: Duration) {
         val previous = byName.getValue(name)
-        previous.ended = true
+        previous.end()
         stopped += name
+        links.clear(name)
         delay(downtime)
         byName[name] = Entry(name, previous.zone).also { it.run() }
         stopped -= name
     }
 
-    private suspend fun fetch(peer: String, query: String): ByteArray? {
+    /** The reply of [peer] to a request for [path] by the entry [self]; null when it is not whole in time. */
+    private suspend fun fetch(self: String, peer: String, path: String): ByteArray? {
+        val deadline = ticker.now() + PEER_QUERY_TIMEOUT
         delay(DATAGRAM_TIME * 2)
-        return byName.getValue(peer).sync.reply(query)
+        val source = byName.getValue(peer)
+        if (self in isolated || peer in isolated) {
+            delay(deadline - ticker.now())
+            return null
+        }
+        if (peer in stopped) return null
+        val reply = source.sync.reply(path)
+        val arrived = links.transfer(peer, self, reply.size, deadline - ticker.now())
+        return reply.takeIf { arrived && !source.ended && self !in isolated && peer !in isolated }
     }
 
-    private fun send(message: PeerMessage, to: List<String>) {
+    private fun send(from: String, message: PeerMessage, to: List<String>) {
         for (address in to) {
             datagrams++
             if (message is PeerMessage.Hello) heartbeats++
             scope.launch {
                 delay(DATAGRAM_TIME)
-                val lost = random.nextDouble() < loss
+                val lost = random.nextDouble() < loss || from in isolated || address in isolated
                 if (!lost && address !in unreachable && address !in stopped) byName[address]?.peers?.receive(message)
             }
         }
@@ -114,15 +127,24 @@
         private val record = PeerRecord(zone, name, name)
         private val startedAt = ticker.now()
 
+        private val scope = this@SimulatedCluster.scope.let { it + Job(it.coroutineContext.job) }
+
         /** Whether this incarnation has ended. */
         var ended = false
+            private set
+
+        /** Ends this incarnation without a graceful stop. */
+        fun end() {
+            ended = true
+            scope.cancel()
+        }
 
         /** Requests per second that the entry receives. */
         var requestsPerS = 0
         val roles = ActiveEntries(name, record, table) { OwnEntry(serving, ticker.now() - startedAt, requestsPerS) }
         val upstreams = UpstreamTable()
         val crashes = CrashSuspects()
-        val book: StateReplica = StateReplica(TextCodec, upstreams, ticker, log, { peers.serving = serving }, {})
+        val book: StateReplica = StateReplica(SimulatedCodec, upstreams, ticker, log, { peers.serving = serving }, {})
         private val serving: Boolean get() = book.state != null && upstreams.all.isNotEmpty()
         val peers: PeerGossip = PeerGossip(
             ::sendUnlessStopped,
@@ -136,7 +158,7 @@
             log,
         ) {}
 
-        val sync = PeerSync(::fetch, table, book, zone, scope, ticker, log)
+        val sync = PeerSync({ peer, path -> fetch(name, peer, path) }, table, book, zone, scope, ticker, log)
 
         private val availability =
             AvailabilityTracker(upstreams, random, log, { peers.loadGossip.scheduleUpdate(it) }) {}
@@ -159,7 +181,7 @@
         }
 
         private fun sendUnlessStopped(message: PeerMessage, to: List<String>) {
-            if (name !in stopped && !ended) send(message, to)
+            if (name !in stopped && !ended) send(name, message, to)
         }
 
         private fun after(pause: Duration, action: () -> Unit) {
@@ -209,17 +231,11 @@
         }
     }
 
-    /** The value of a row is the version of a desired state or the state of an upstream, as text. */
-    private object TextCodec : StateCodec {
-        override fun desiredState(value: ByteArray): Result<DesiredState, StoreError.Malformed> =
-            Ok(DesiredState(value.decodeToString().toLong(), persistentMapOf(), persistentListOf(), CallerLimits()))
-
-        override fun upstream(key: String, value: ByteArray): Result<Upstream, StoreError.Malformed> =
-            Ok(upstream(key, draining = value.decodeToString() == "draining"))
-    }
-
     private companion object {
         val DATAGRAM_TIME: Duration = 2.milliseconds
+
+        /** As in GatewayProcess. */
+        val PEER_QUERY_TIMEOUT: Duration = 500.milliseconds
         val ACTIVE_TICK: Duration = 100.milliseconds
         val STANDBY_TICK: Duration = 250.milliseconds
     }
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedStore.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedStore.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.flatMap
 import io.poplarwood.gateway.store.RowSnapshot
 import io.poplarwood.gateway.store.StateStore
 import io.poplarwood.gateway.store.StoreError
@@ -12,7 +13,10 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** One store for several entries in virtual time, which can be unresponsive to some of them. */
+/**
+ * One store for several entries in virtual time, which can be unresponsive to some of them. An answer takes its size on
+ * the link of its reader.
+ */
 internal class SimulatedStore {
     private val rows = Topic.entries.associateWith { LinkedHashMap<String, StoredRow>() }
     private var version = 0L
@@ -20,6 +24,9 @@
     /** Names of entries whose calls time out. */
     val downFor = HashSet<String>()
 
+    /** Links of the readers; unlimited while there are none. */
+    var links: SimulatedLinks? = null
+
     /** Version up to which the change history has been dropped. */
     private var historyStart = 0L
 
@@ -45,7 +52,7 @@
     /** The store as the entry named [entry] reaches it. */
     fun of(entry: String): StateStore = object : StateStore {
         override suspend fun read(topic: Topic): Result<RowSnapshot, StoreError> =
-            answer(CALL_TIMEOUT) { RowSnapshot(rows.getValue(topic).values.filter { it.value != null }, version) }
+            answerRows(CALL_TIMEOUT) { RowSnapshot(rows.getValue(topic).values.filter { it.value != null }, version) }
 
         override suspend fun changes(
             topic: Topic,
@@ -59,7 +66,7 @@
                 waited += STEP
             }
             if (after < historyStart && entry !in downFor) return Err(StoreError.HistoryGone)
-            return answer(limit - waited) { RowSnapshot(changedAfter(topic, after), version) }
+            return answerRows(limit - waited) { RowSnapshot(changedAfter(topic, after), version) }
         }
 
         override suspend fun putEntryRow(key: String, value: ByteArray): Result<Unit, StoreError> = answer(
@@ -69,6 +76,13 @@
 
         override suspend fun deleteEntryRow(key: String): Result<Unit, StoreError> = answer(CALL_TIMEOUT) {}
 
+        private suspend fun answerRows(limit: Duration, rows: () -> RowSnapshot): Result<RowSnapshot, StoreError> =
+            answer(limit, rows).flatMap {
+                val bytes = it.rows.sumOf { row -> row.value?.size ?: 0 }
+                val arrived = links?.receive(entry, bytes, limit - STEP) ?: true
+                if (arrived && entry !in downFor) Ok(it) else Err(StoreError.NoAnswer)
+            }
+
         private suspend fun <T> answer(limit: Duration, value: () -> T): Result<T, StoreError> {
             calls.merge(entry, 1, Int::plus)
             if (entry !in downFor) {
