--- a/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/PieceContent.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/PieceContent.kt
@@ -30,7 +30,10 @@
 
 /** A route key as entries send it to each other. */
 @Serializable
-internal class KeyRow(@SerialName("h") val host: String, @SerialName("p") val prefix: String) {
+internal class KeyRow(
+    @SerialName("h") val host: String,
+    @SerialName("p") val prefix: String,
+) {
     fun toKey() = RouteKey(host, prefix)
 }
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/TransferReply.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/TransferReply.kt
@@ -32,7 +32,9 @@
      */
     @Serializable
     @SerialName("b")
-    class Busy(@SerialName("h") val holders: List<String>) : TransferReply
+    class Busy(
+        @SerialName("h") val holders: List<String>,
+    ) : TransferReply
 
     /** The sender has nothing newer, or no longer has the requested change. */
     @Serializable
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
@@ -49,6 +49,7 @@
 
     private val unansweredTopics = EnumSet.noneOf(Topic::class.java)
     private val followerSelection = FollowerSelection(self, record.zone)
+
     /** Since when a newer desired state has been arriving from the store; null while none is. */
     private var readingSince: Duration? = null
     private var readingAnnounced = false
@@ -77,7 +78,7 @@
         detectSilent(ticker.now())
         refreshRoles()
         val period = if (schedule.wide) HeartbeatPlan.ACTIVE_PERIOD else HeartbeatPlan.STANDBY_PERIOD
-        val due = heartbeatDue || versionsChanged() || readingChanged() || ticker.now() - lastHeartbeatAt >= period
+        val due = heartbeatDue || (schedule.wide && versions() != announcedVersions) || readingChanged() || ticker.now() - lastHeartbeatAt >= period
         if (due) sendHeartbeats()
         nextTick.complete(Unit)
         nextTick = CompletableDeferred()
@@ -85,8 +86,6 @@
 
     private fun versions() = book.stateVersion to book.upstreamVersion
 
-    private fun versionsChanged() = schedule.wide && versions() != announcedVersions
-
     /** An answer that arrives whole between two ticks is not announced. */
     private fun readingChanged() = schedule.wide && (readingSince != null) != readingAnnounced
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerSync.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerSync.kt
@@ -15,10 +15,12 @@
 import kotlin.time.Duration
 
 /**
- * Fetches newer registrations of upstreams from peers. An entry needs these while the store is unreachable for it, or when it
+ * Fetches newer registrations of upstreams from peers. An entry needs these while the store is unreachable for
+ * it, or when it
  * starts during an outage of the store.
  *
- * @param fetch requests the rows from a peer, which replies with its [answer] to the query; null when the peer does not
+ * @param fetch requests the rows from a peer, which replies with its [answer] to the query; null when the peer
+ * does not
  * reply
  */
 internal class PeerSync(
@@ -108,7 +110,13 @@
         val startedAt = ticker.now()
         val body = fetch(peer.record.peers, query.encode())
         val page = body?.let(::decode)
-        val result = if (body == null) "no-reply" else if (page == null) "unreadable" else "received"
+        val result = if (body == null) {
+            "no-reply"
+        } else if (page == null) {
+            "unreadable"
+        } else {
+            "received"
+        }
         val tookMs = (ticker.now() - startedAt).inWholeMilliseconds
         log.log(GatewayEvent.PEER_FETCH, peer.name, knownVersion, body?.size ?: 0, tookMs, result)
         return page
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -110,9 +110,10 @@
             BodyMemoryBudget(bodyMemoryBytes()),
             metrics::connectionOpened,
         )
-    private val stateBook: StateReplica = StateReplica(adapter.codec, upstreams, background, ticker, log, ::onStateChanged) {
-        upstreamLinks.closeIdle(it.record.address)
-    }
+    private val stateBook: StateReplica =
+        StateReplica(adapter.codec, upstreams, background, ticker, log, ::onStateChanged) {
+            upstreamLinks.closeIdle(it.record.address)
+        }
     private val peers: PeerGossip = PeerGossip(
         peerSocket::send,
         settings.entry,
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/StateExchange.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/StateExchange.kt
@@ -60,7 +60,9 @@
         ConfigurationFetcher(record.peers, ::ask, holders::of, book.history, background, random, ticker, transfers)
     private val configurations = ConfigurationSync(fetcher, holders, book, scope)
     private val registrations =
-        PeerSync({ peer, query -> call(peer, REGISTRATIONS_PATH + query) }, peers, book, record.zone, scope, ticker, log)
+        PeerSync({ peer, query ->
+            call(peer, REGISTRATIONS_PATH + query)
+        }, peers, book, record.zone, scope, ticker, log)
     private var scheduled = false
 
     /**
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateReplica.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateReplica.kt
@@ -173,7 +173,8 @@
     fun upstreamChanges(covered: Long): List<StoredRow>? {
         if (covered < removedVersions.droppedUpTo || covered == 0L) return null
         val removed = removedVersions.after(covered).filterKeys { it !in upstreamRows }
-        return upstreamRows.values.filter { it.version > covered } + removed.map { (key, at) -> StoredRow(key, null, at) }
+        return upstreamRows.values.filter { it.version > covered } +
+            removed.map { (key, at) -> StoredRow(key, null, at) }
     }
 
     private fun notifyChanged() {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateWatcher.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateWatcher.kt
@@ -164,7 +164,10 @@
          */
         val LONG_POLL_WAIT = 800.milliseconds
 
-        /** Time allowed until an answer begins, in addition to the call's long-poll time; doubles with each failed call. */
+        /**
+         * Time allowed until an answer begins, in addition to the call's long-poll time; doubles with each failed
+         * call.
+         */
         val RESPONSE_MARGIN = 400.milliseconds
         val MAX_RESPONSE_MARGIN = 1_600.milliseconds
 
@@ -177,7 +180,8 @@
         val MAX_BACKOFF = 500.milliseconds
 
         /**
-         * A stale entry waits about this long, for each entry that there is, between two polls. This bounds the rate of
+         * A stale entry waits about this long, for each entry that there is, between two polls. This bounds the
+         * rate of
          * all entries together.
          */
         val SHARED_INTERVAL = 60.milliseconds
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/configuration/ChangeSizesSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/configuration/ChangeSizesSpec.kt
@@ -16,7 +16,10 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Sizes of what entries send each other about configurations with random names, which compress as badly as real ones. */
+/**
+ * Sizes of what entries send each other about configurations with random names, which compress as badly as real
+ * ones.
+ */
 class ChangeSizesSpec {
     private val random = SplitMix(11)
 
@@ -68,7 +71,9 @@
             val before = routes(4_000)
             val bytes = size(before, before + routes(1_900))
             println("1,900 routes added to 4,000: $bytes bytes")
-            println("whole: 1,900 routes ${size(null, routes(1_900))}, 10,000 routes ${size(null, routes(10_000))} bytes")
+            println(
+                "whole: 1,900 routes ${size(null, routes(1_900))}, 10,000 routes ${size(null, routes(10_000))} bytes",
+            )
             assertTrue(bytes < SMALL_LINK_BYTES_PER_S / 10, "$bytes bytes")
         }
     }
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedStore.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedStore.kt
@@ -3,7 +3,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
-import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getOrElse
 import io.poplarwood.gateway.store.RowSnapshot
 import io.poplarwood.gateway.store.StateStore
 import io.poplarwood.gateway.store.StoreError
@@ -13,7 +13,11 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** One store for several entries in virtual time, which can be unresponsive to some of them. */
+/**
+ * One store for several entries in virtual time, which can be unresponsive to some of them. An answer takes its
+ * size on
+ * the link of its reader.
+ */
 internal class SimulatedStore {
     private val rows = Topic.entries.associateWith { LinkedHashMap<String, StoredRow>() }
     private var version = 0L
@@ -21,7 +25,13 @@
     /** Names of entries whose calls time out. */
     val downFor = HashSet<String>()
 
-    /** Time that an answer with the desired state takes to arrive, by entry name; [Duration.INFINITE] when it stalls. */
+    /** Links of the readers; unlimited while there are none. */
+    var links: SimulatedLinks? = null
+
+    /**
+     * Time that an answer with the desired state takes to arrive, by entry name; [Duration.INFINITE] when it
+     * stalls.
+     */
     val arrivalTime = HashMap<String, Duration>()
 
     /** Version up to which the change history has been dropped. */
@@ -69,17 +79,21 @@
                 .arriving(topic, onArriving)
         }
 
+        /** The answer when all of its bytes have arrived; the time for that is limited as in CallLimits. */
         private suspend fun Result<RowSnapshot, StoreError>.arriving(
             topic: Topic,
             onArriving: () -> Unit,
         ): Result<RowSnapshot, StoreError> {
-            val time = arrivalTime[entry] ?: Duration.ZERO
-            if (topic != Topic.DESIRED_STATE || get()?.rows.isNullOrEmpty()) return this
+            val answered = getOrElse { return this }
+            if (answered.rows.isEmpty()) return this
             onArriving()
+            val time = arrivalTime[entry]?.takeIf { topic == Topic.DESIRED_STATE } ?: Duration.ZERO
             delay(minOf(time, STALL_LIMIT))
             if (time == Duration.INFINITE) return Err(StoreError.NoAnswer)
             delay(time - minOf(time, STALL_LIMIT))
-            return this
+            val bytes = answered.rows.sumOf { row -> row.value?.size ?: 0 }
+            val arrived = links?.receive(entry, bytes, TOTAL_LIMIT) ?: true
+            return if (arrived && entry !in downFor) this else Err(StoreError.NoAnswer)
         }
 
         override suspend fun putEntryRow(key: String, value: ByteArray): Result<Unit, StoreError> = answer(
@@ -105,6 +119,9 @@
     private companion object {
         val STEP = 4.milliseconds
         val CALL_TIMEOUT = 1_000.milliseconds
+
+        /** As in CallLimits. */
+        val TOTAL_LIMIT = 10_000.milliseconds
         val STALL_LIMIT = 400.milliseconds
     }
 }
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SlowFollowersSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SlowFollowersSpec.kt
@@ -40,7 +40,9 @@
             for (name in slow) store.arrivalTime[name] = arrivalTime
             store.put(Topic.DESIRED_STATE, "c", "2")
             val from = testScheduler.currentTime
-            while (cluster.entries.any { it.book.state?.version != 2L } && testScheduler.currentTime - from < MAX_WAIT_MS) {
+            while (cluster.entries.any { it.book.state?.version != 2L } &&
+                testScheduler.currentTime - from < MAX_WAIT_MS
+            ) {
                 delay(STEP)
             }
             elapsed = (testScheduler.currentTime - from).milliseconds
@@ -49,7 +51,9 @@
         return elapsed
     }
 
-    private fun firstOfEachZone(names: List<String>) = names.groupBy { it.substringBefore('-') }.values.map { it.first() }
+    private fun firstOfEachZone(names: List<String>) = names.groupBy {
+        it.substringBefore('-')
+    }.values.map { it.first() }
 
     @Nested
     inner class `a new desired state` {
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/route/RouteTableSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/route/RouteTableSpec.kt
@@ -41,7 +41,16 @@
 
     @Nested
     inner class `a change` {
-        private val changed = table.change(listOf(RouteKey("a.example", "/a/")), listOf(route("/y/"), route("/", "s2" to 1)))
+        private val changed = table.change(
+            listOf(RouteKey("a.example", "/a/")),
+            listOf(
+                route("/y/"),
+                route(
+                    "/",
+                    "s2" to 1,
+                ),
+            ),
+        )
 
         /** Guards against routes that stay in force after they were removed, or keep earlier settings. */
         @Test
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/store/StateReplicaSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/store/StateReplicaSpec.kt
@@ -26,7 +26,8 @@
     private var now: Duration = 100.seconds
     private val upstreams = UpstreamTable()
     private val unavailable = ArrayList<String>()
-    private val book = StateReplica(Codec, upstreams, { it() }, Ticker { now }, EventLog(), {}, { unavailable += it.id })
+    private val book =
+        StateReplica(Codec, upstreams, { it() }, Ticker { now }, EventLog(), {}, { unavailable += it.id })
 
     /** The value of a row is the version of a desired state or the state of an upstream, as text. */
     private object Codec : StateCodec {
@@ -146,7 +147,7 @@
             book.removeExpired()
             assertNotNull(upstreams["a"])
         }
-    
+
         /** Guards against a late whole read that removes an upstream which registered after it. */
         @Test
         fun `that are newer than a whole read are not removed by it`() {
