Track how old the desired state in force is, and since when a newer one is known

Cause: the confirmation in heartbeats spoke of registrations only, so an entry with an old desired state counted as current, was not sent to the store, and had no ground to refuse anything. Change: ConfigurationFreshness. The store confirms as of the end of a wait without changes, else as of the call; a peer confirms an entry that has received exactly the same version (heartbeat fields sr and cs). Versions that no live entry has any more, and rows that hold an older desired state, do not count as newer. An unreadable version is logged once. FollowerSelection uses the older of both confirmations.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
@@ -87,6 +87,7 @@
         for (peer in table.markSilent(now)) {
             log.log(GatewayEvent.PEER_SILENT, peer.name, (now - peer.lastSeenAt).inWholeMilliseconds)
             loadGossip.forget(peer.name)
+            book.freshness.forget(peer.name)
         }
     }
 
@@ -120,6 +121,8 @@
         upstreamVersion = book.upstreamVersion,
         coveredVersion = book.coveredVersion,
         confirmedMs = (now - book.confirmedAt).inWholeMilliseconds,
+        stateReceived = book.freshness.receivedVersion.takeIf { it > book.stateVersion } ?: 0,
+        stateConfirmedMs = (now - book.freshness.confirmedAt).inWholeMilliseconds,
         upMs = (now - startedAt).inWholeMilliseconds,
         requestsPerS = roles.requestsPerS,
         capacity = record.capacity,
@@ -139,7 +142,7 @@
 
     override fun mode(): FollowMode {
         if (stopping) return FollowMode.NONE
-        return followerSelection.mode(table.live, roles.active, storeAnswers, ticker.now() - book.confirmedAt)
+        return followerSelection.mode(table.live, roles.active, storeAnswers, ticker.now() - book.allConfirmedAt)
     }
 
     override fun storeAnswered(topic: Topic, answered: Boolean) {
@@ -185,8 +188,13 @@
     /** Compares the store versions of the sender with the own ones: requests newer rows or confirms the own ones. */
     private fun compareVersions(hello: PeerMessage.Hello) {
         if (hello.upstreamVersion <= book.coveredVersion) book.advanceCoveredVersion(hello.coveredVersion)
-        val isBehind = hello.upstreamVersion > book.upstreamVersion || hello.stateVersion > book.stateVersion
-        if (isBehind) requestSync() else book.confirm(ticker.now() - hello.confirmedMs.milliseconds - MAX_TRANSIT)
+        val sentAt = ticker.now() - MAX_TRANSIT
+        val lacksUpstreams = hello.upstreamVersion > book.upstreamVersion
+        if (!lacksUpstreams) book.confirm(sentAt - hello.confirmedMs.milliseconds)
+        val received = maxOf(hello.stateVersion, hello.stateReceived)
+        val stateConfirmedAt = sentAt - hello.stateConfirmedMs.milliseconds
+        book.freshness.heard(hello.from, hello.stateVersion, received, stateConfirmedAt, ticker.now())
+        if (lacksUpstreams || hello.stateVersion > book.stateVersion) requestSync()
     }
 
     /**
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
@@ -11,6 +11,9 @@
     companion object {
         /** Heartbeat interval that is assumed until a heartbeat states its own, in milliseconds. */
         const val INITIAL_INTERVAL_MS = 400
+
+        /** Staleness of an entry whose configuration was never confirmed, or that does not say, in milliseconds. */
+        const val UNCONFIRMED_MS = Long.MAX_VALUE
     }
 
     /**
@@ -24,7 +27,11 @@
      * @property stateVersion store version of the desired state that the sender has
      * @property upstreamVersion store version of the newest change of a registration that the sender has
      * @property coveredVersion store version up to which the sender has every registration
-     * @property confirmedMs staleness: time since these versions were confirmed to be the newest, in milliseconds
+     * @property confirmedMs time since the registrations were confirmed to be the newest, in milliseconds
+     * @property stateReceived store version of the newest desired state that the sender has received, which it may be
+     * unable to decode; 0 when it is not above [stateVersion]
+     * @property stateConfirmedMs time since the store certainly had no desired state beyond the newest one that the
+     * sender has received, in milliseconds
      * @property upMs time since the sender started, in milliseconds
      * @property requestsPerS requests per second that the sender received lately
      * @property capacity requests per second that the VM of the sender can carry
@@ -48,6 +55,8 @@
         @SerialName("uv") val upstreamVersion: Long,
         @SerialName("cv") val coveredVersion: Long,
         @SerialName("cm") val confirmedMs: Long,
+        @SerialName("sr") val stateReceived: Long = 0,
+        @SerialName("cs") val stateConfirmedMs: Long = UNCONFIRMED_MS,
         @SerialName("um") val upMs: Long,
         @SerialName("q") val requestsPerS: Int,
         @SerialName("y") val capacity: Int = PeerRecord.DEFAULT_CAPACITY,
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateReplica.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateReplica.kt
@@ -32,6 +32,9 @@
     private val removedVersions = RecentVersions(MAX_REMOVED_VERSIONS)
     private var stateRow: StoredRow? = null
 
+    /** What is known about the age of [state]. */
+    val freshness: ConfigurationFreshness = ConfigurationFreshness()
+
     /** The desired state in force; null until the first one has arrived. */
     var state: DesiredState? = null
         private set
@@ -56,6 +59,9 @@
     var confirmedAt: Duration = -Duration.INFINITE
         private set
 
+    /** The older of the times when the registrations and when [state] were last confirmed to be the newest. */
+    val allConfirmedAt: Duration get() = minOf(confirmedAt, freshness.confirmedAt)
+
     /** Completed once a desired state and the registrations have arrived. */
     val initialized = CompletableDeferred<Unit>()
 
@@ -111,7 +117,7 @@
         notifyChanged()
     }
 
-    /** Records that the data was confirmed to be the newest at [at]. */
+    /** Records that the registrations were confirmed to be the newest at [at]. */
     fun confirm(at: Duration) {
         if (at > confirmedAt) confirmedAt = at
     }
@@ -137,9 +143,11 @@
     private fun applyState(row: StoredRow, value: ByteArray, source: String) {
         val decodeStartedAt = ticker.now()
         val next = codec.desiredState(value).getOrElse {
-            log.log(GatewayEvent.STATE_UNREADABLE, it.detail, row.version)
+            val isNew = freshness.reject(row.version, decodeStartedAt, source)
+            if (isNew) log.log(GatewayEvent.STATE_UNREADABLE, it.detail, row.version)
             return
         }
+        freshness.accept(row.version)
         if (next.version < (state?.version ?: 0)) return
         stateRow = row
         stateVersion = row.version
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateWatcher.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateWatcher.kt
@@ -36,8 +36,9 @@
     /** Reads all rows of the topic; retries until a read succeeds. */
     suspend fun readSnapshot() {
         while (true) {
+            val startedAt = ticker.now()
             val rows = handleResult(store.read(topic))
-            if (rows != null) return apply(rows, full = true)
+            if (rows != null) return apply(rows, full = true, startedAt)
             awaitRetry()
         }
     }
@@ -53,6 +54,7 @@
             // The first call does not wait, so that it shows at once whether the store answers this entry.
             val wait = if (hasPolled && unansweredSince == null) LONG_POLL_WAIT else Duration.ZERO
             hasPolled = true
+            val startedAt = ticker.now()
             val result = store.changes(topic, version, wait, wait + responseMargin)
             if (result.getError() == StoreError.HistoryGone) {
                 readSnapshot()
@@ -63,7 +65,9 @@
                 awaitRetry()
                 continue
             }
-            apply(rows, full = false)
+            // The next call confirms a new configuration at once, because it does not wait.
+            if (topic == Topic.DESIRED_STATE && rows.rows.isNotEmpty()) hasPolled = false
+            apply(rows, full = false, answerTime(startedAt, wait, rows))
             if (rows.rows.isNotEmpty()) delay(BATCH_DELAY)
         }
     }
@@ -82,10 +86,23 @@
         return false
     }
 
-    private fun apply(rows: RowSnapshot, full: Boolean) {
+    /**
+     * Earliest time at which the store can have given its answer of [rows] to a call that was sent at [startedAt].
+     * Nothing tells how long a large answer was under way; one without rows is given at the end of the [wait].
+     */
+    private fun answerTime(startedAt: Duration, wait: Duration, rows: RowSnapshot): Duration {
+        val waitedInVain = rows.rows.isEmpty() && ticker.now() - startedAt >= wait
+        return if (waitedInVain) startedAt + wait else startedAt
+    }
+
+    /** Applies [rows], which the store had no change beyond before [confirmedAt]. */
+    private fun apply(rows: RowSnapshot, full: Boolean, confirmedAt: Duration) {
         val versionBefore = if (topic == Topic.UPSTREAMS) book.upstreamVersion else version
         when (topic) {
-            Topic.DESIRED_STATE -> book.applyState(rows, "store")
+            Topic.DESIRED_STATE -> {
+                book.applyState(rows, "store")
+                book.freshness.confirm(confirmedAt)
+            }
             Topic.UPSTREAMS -> {
                 if (full) book.applyAllUpstreams(rows, "store") else book.applyUpstreamChanges(rows, version, "store")
                 book.confirm(ticker.now())
