Refuse requests that an old desired state may decide wrongly

404 is given only while the desired state was confirmed within the bound for changes and no newer one is known; else 503. A request with a route is refused, before any attempt, once another entry has had a newer desired state in force for the bound less 0.5 s; also one that came after that announcement and is still in the queue then. New outcome behind.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/explain/Cause.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/explain/Cause.kt
@@ -9,6 +9,8 @@
         Outcome.NO_ROUTE to "The desired state of that version has no route for its host and path.",
         Outcome.NO_STATE to
             "The entry knew no desired state yet: it had just started, or reached neither store nor peer.",
+        Outcome.BEHIND to
+            "The entry knew of a newer desired state than its own, or could not tell whether there is one.",
         Outcome.STOPPING to "The entry was about to end its planned stop; another would have taken the request.",
         Outcome.NO_UPSTREAM to
             "Every upstream of the service had left, rested after failures, or had the request already.",
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -174,6 +174,7 @@
         ticker,
         metrics,
         attemptFeedback,
+        ConfigurationAdmission(stateBook.freshness, ticker) { bounds.changeS.seconds },
         requestLog,
         log,
     )
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Outcome.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Outcome.kt
@@ -14,6 +14,7 @@
     ANSWERED("answered", 0, GatewayEvent.ANSWERED),
     NO_ROUTE("no-route", 404, GatewayEvent.REFUSED),
     NO_STATE("no-state", 503, GatewayEvent.REFUSED),
+    BEHIND("behind", 503, GatewayEvent.REFUSED),
     STOPPING("stopping", 503, GatewayEvent.REFUSED),
     NO_UPSTREAM("no-upstream", 503, GatewayEvent.REFUSED),
     RATE_LIMITED("rate-limited", 503, GatewayEvent.REFUSED),
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestHandler.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestHandler.kt
@@ -24,6 +24,7 @@
     val ticker: Ticker,
     val metrics: GatewayMetrics,
     val attemptFeedback: AttemptFeedback,
+    val configurationAdmission: ConfigurationAdmission,
     private val requestLog: RequestLog,
     private val log: EventLog,
 ) {
@@ -77,8 +78,10 @@
         val state = stateBook.state ?: return refuse(report, Outcome.NO_STATE, STATE_TIMEOUT)
         report.stateVersion = state.version
         if (refusingNew) return refuse(report, Outcome.STOPPING, OTHER_ENTRY_RETRY_AFTER, close = true)
-        val route = stateBook.routes.find(request.host, request.target) ?: return refuse(report, Outcome.NO_ROUTE, null)
+        val route = stateBook.routes.find(request.host, request.target)
         report.route = route
+        val freshness = configurationAdmission.verdict(route != null)
+        if (route == null || freshness != FreshnessVerdict.SERVE) return refuseFor(freshness, report)
         val service = decisions.splitPicker.next(route)
         report.service = service.value
         report.fingerprint = request.fingerprint
@@ -97,6 +100,12 @@
         }
     }
 
+    private fun refuseFor(verdict: FreshnessVerdict, report: RequestReport) = when (verdict) {
+        FreshnessVerdict.SERVE, FreshnessVerdict.NOT_FOUND -> refuse(report, Outcome.NO_ROUTE, null)
+        FreshnessVerdict.REFUSE_FOR_OTHER_ENTRY -> refuse(report, Outcome.BEHIND, OTHER_ENTRY_RETRY_AFTER)
+        FreshnessVerdict.REFUSE_UNTIL_CONFIRMED -> refuse(report, Outcome.BEHIND, UNCONFIRMED_RETRY_AFTER)
+    }
+
     private fun refuse(
         report: RequestReport,
         outcome: Outcome,
@@ -112,7 +121,10 @@
         private val STATE_TIMEOUT = 200.milliseconds
 
         /** Short, because another entry can take the request at once. */
-        private val OTHER_ENTRY_RETRY_AFTER = 10.milliseconds
+        val OTHER_ENTRY_RETRY_AFTER = 10.milliseconds
+
+        /** Longer, because no entry is known that can tell whether the route was added. */
+        private val UNCONFIRMED_RETRY_AFTER = 200.milliseconds
         private val CRASH_REFUSED_RETRY_AFTER = 10_000.milliseconds
 
         /** Within this time the checks show whether the upstreams have ended. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
@@ -95,13 +95,20 @@
         }
     }
 
-    /** Checks for crashes again, since upstreams may have ended under equal requests while this one was queued. */
+    /**
+     * Checks again what may have changed while this request was queued: upstreams may have ended under equal requests,
+     * and its route may be of a configuration that has been replaced at other entries for too long.
+     */
     private fun CoroutineScope.startOrRefuse(row: UpstreamRow): RequestResult? {
         val verdict = crashVerdict()
         if (verdict != CrashVerdict.ADMITTED) {
             releaseSlot(row)
             return evidence.refuse(Outcome.CRASHES, RequestHandler.retryAfterOf(verdict))
         }
+        if (handler.configurationAdmission.expiredInQueue(request.arrivedAt)) {
+            releaseSlot(row)
+            return evidence.refuse(Outcome.BEHIND, RequestHandler.OTHER_ENTRY_RETRY_AFTER)
+        }
         startAttempt(row)
         return null
     }
