--- a/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
@@ -64,6 +64,18 @@
         "bytes",
         "encodeMs",
     ),
+    CONFIGURATION_BEHIND(
+        6114,
+        Level.WARN,
+        "a newer desired state than the one in force has been known for over a second",
+        *Fields.LAG,
+    ),
+    CONFIGURATION_CURRENT(
+        6115,
+        Level.INFO,
+        "no newer desired state than the one in force is known any more",
+        *Fields.LAG,
+    ),
     UPSTREAM_KNOWN(
         6301,
         Level.INFO,
@@ -143,6 +155,7 @@
     val id: String get() = "PW-$number"
 
     private object Fields {
+        val LAG = arrayOf("behindMs", "storeVersion", "newestVersion", "source", "reason")
         val REQUEST = arrayOf(
             "requestId",
             "route",
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/GatewayMetrics.kt
@@ -31,6 +31,13 @@
 
     private val permitsByEvent = PermitEvent.entries.map { permits.labelValues(it.name.lowercase()) }
 
+    /** The configuration's status, asked for at each scrape. */
+    var configuration: () -> ConfigurationStatus = { ConfigurationStatus.NONE }
+
+    init {
+        ConfigurationMetrics(registry) { configuration() }
+    }
+
     /** Counts what became of a permit. */
     fun permitChanged(event: PermitEvent) = permitsByEvent[event.ordinal].inc()
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -178,6 +178,7 @@
         requestLog,
         log,
     )
+    private val configurationLagLog = ConfigurationLagLog(stateBook, ticker, log::log)
     private val directory =
         Directory(settings.zone, peerTable::zones, activeSet, settings.bounds.directoryLifetimeS.seconds)
     private val callerListener = CallerListener(
@@ -202,6 +203,7 @@
         supervise("state") { followTopic(Topic.DESIRED_STATE) }
         supervise("upstreams") { followTopic(Topic.UPSTREAMS) }
         supervise("entries") { entryRegistration.registerAndReadPeers() }
+        metrics.configuration = ConfigurationStatusSource(stateBook, ticker)::status
         callerListener.start()
         InternalListener(eventLoopGroup, settings.listen.readiness, entryReplies::readiness).start()
         InternalListener(eventLoopGroup, settings.listen.directory, entryReplies::entries).start()
@@ -272,6 +274,7 @@
             peers.tick()
             peerSync.syncIfBehind()
             peerSync.logReplies()
+            configurationLagLog.check()
             stateBook.removeExpired()
             upstreamLinks.closeExpired()
             delay(if (activeSet.active || !serving) ACTIVE_TASK_INTERVAL else STANDBY_TASK_INTERVAL)
