--- a/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
@@ -86,6 +86,18 @@
     ),
     FETCH_FAILED(6111, Level.WARN, "another entry did not send a requested piece", "peer", "reason", "tookMs"),
     STORE_SLOW(6117, Level.INFO, "rows of the store took long to arrive", "topic", "tookMs", "result"),
+    CONFIGURATION_BEHIND(
+        6114,
+        Level.WARN,
+        "a newer desired state than the one in force has been known for over a second",
+        *Fields.LAG,
+    ),
+    CONFIGURATION_CURRENT(
+        6115,
+        Level.INFO,
+        "no newer desired state than the one in force is known any more",
+        *Fields.LAG,
+    ),
     UPSTREAM_KNOWN(
         6301,
         Level.INFO,
@@ -165,6 +177,7 @@
     val id: String get() = "PW-$number"
 
     private object Fields {
+        val LAG = arrayOf("behindMs", "storeVersion", "newestVersion", "source", "reason")
         val REQUEST = arrayOf(
             "requestId",
             "route",
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
@@ -78,7 +78,9 @@
         detectSilent(ticker.now())
         refreshRoles()
         val period = if (schedule.wide) HeartbeatPlan.ACTIVE_PERIOD else HeartbeatPlan.STANDBY_PERIOD
-        val due = heartbeatDue || (schedule.wide && versions() != announcedVersions) || readingChanged() || ticker.now() - lastHeartbeatAt >= period
+        val due =
+            heartbeatDue || (schedule.wide && versions() != announcedVersions) || readingChanged() ||
+                ticker.now() - lastHeartbeatAt >= period
         if (due) sendHeartbeats()
         nextTick.complete(Unit)
         nextTick = CompletableDeferred()
@@ -93,6 +95,7 @@
         for (peer in table.markSilent(now)) {
             log.log(GatewayEvent.PEER_SILENT, peer.name, (now - peer.lastSeenAt).inWholeMilliseconds)
             loadGossip.forget(peer.name)
+            book.freshness.forget(peer.name)
         }
     }
 
@@ -132,6 +135,8 @@
         upstreamVersion = book.upstreamVersion,
         coveredVersion = book.coveredVersion,
         confirmedMs = (now - book.confirmedAt).inWholeMilliseconds,
+        stateReceived = book.freshness.receivedVersion.takeIf { it > book.stateVersion } ?: 0,
+        stateConfirmedMs = (now - book.freshness.confirmedAt).inWholeMilliseconds,
         upMs = (now - startedAt).inWholeMilliseconds,
         requestsPerS = roles.requestsPerS,
         capacity = record.capacity,
@@ -153,7 +158,7 @@
     override fun mode(): FollowMode {
         if (stopping) return FollowMode.NONE
         val now = ticker.now()
-        return followerSelection.mode(table.live, roles.active, storeAnswers, now, now - book.confirmedAt)
+        return followerSelection.mode(table.live, roles.active, storeAnswers, now, now - book.allConfirmedAt)
     }
 
     override fun rowsArriving(topic: Topic, arriving: Boolean) {
@@ -203,8 +208,13 @@
     /** Compares the store versions of the sender with the own ones: requests newer rows or confirms the own ones. */
     private fun compareVersions(hello: PeerMessage.Hello) {
         if (hello.upstreamVersion <= book.coveredVersion) book.advanceCoveredVersion(hello.coveredVersion)
-        val isBehind = hello.upstreamVersion > book.upstreamVersion || hello.stateVersion > book.stateVersion
-        if (isBehind) requestSync() else book.confirm(ticker.now() - hello.confirmedMs.milliseconds - MAX_TRANSIT)
+        val sentAt = ticker.now() - MAX_TRANSIT
+        val lacksUpstreams = hello.upstreamVersion > book.upstreamVersion
+        if (!lacksUpstreams) book.confirm(sentAt - hello.confirmedMs.milliseconds)
+        val received = maxOf(hello.stateVersion, hello.stateReceived)
+        val stateConfirmedAt = sentAt - hello.stateConfirmedMs.milliseconds
+        book.freshness.heard(hello.from, hello.stateVersion, received, stateConfirmedAt, ticker.now())
+        if (lacksUpstreams || hello.stateVersion > book.stateVersion) requestSync()
     }
 
     /**
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -188,9 +188,11 @@
         ticker,
         metrics,
         attemptFeedback,
+        ConfigurationAdmission(stateBook.freshness, ticker) { bounds.changeS.seconds },
         requestLog,
         log,
     )
+    private val configurationLagLog = ConfigurationLagLog(stateBook, ticker, log::log)
     private val directory =
         Directory(settings.zone, peerTable::zones, activeSet, settings.bounds.directoryLifetimeS.seconds)
     private val callerListener = CallerListener(
@@ -215,6 +217,7 @@
         supervise("state") { followTopic(Topic.DESIRED_STATE) }
         supervise("upstreams") { followTopic(Topic.UPSTREAMS) }
         supervise("entries") { entryRegistration.registerAndReadPeers() }
+        metrics.configuration = ConfigurationStatusSource(stateBook, ticker)::status
         callerListener.start()
         InternalListener(eventLoopGroup, settings.listen.readiness, scope, entryReplies::readiness).start()
         InternalListener(eventLoopGroup, settings.listen.directory, scope, entryReplies::entries).start()
@@ -287,6 +290,7 @@
             peers.tick()
             stateExchange.syncIfBehind()
             stateExchange.logReplies()
+            configurationLagLog.check()
             stateBook.removeExpired()
             upstreamLinks.closeExpired()
             delay(if (activeSet.active || !serving) ACTIVE_TASK_INTERVAL else STANDBY_TASK_INTERVAL)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateReplica.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateReplica.kt
@@ -41,6 +41,9 @@
     /** The desired state in force and those before it. */
     val history = ConfigurationHistory()
 
+    /** What is known about the age of [state]. */
+    val freshness: ConfigurationFreshness = ConfigurationFreshness()
+
     /** The desired state in force; null until the first one has arrived. */
     val state: DesiredState? get() = history.newest?.state
 
@@ -62,6 +65,9 @@
     var confirmedAt: Duration = -Duration.INFINITE
         private set
 
+    /** The older of the times when the registrations and when [state] were last confirmed to be the newest. */
+    val allConfirmedAt: Duration get() = minOf(confirmedAt, freshness.confirmedAt)
+
     /** Completed once a desired state and the registrations have arrived. */
     val initialized = CompletableDeferred<Unit>()
 
@@ -72,13 +78,15 @@
     suspend fun applyStateRows(rows: RowSnapshot, source: String) {
         for (row in rows.rows) {
             val value = row.value
-            if (value != null && row.version > stateVersion) decode(row, value)?.let { applyState(it, source) }
+            if (value != null && row.version > stateVersion) decode(row, value, source)?.let { applyState(it, source) }
         }
     }
 
     /** Applies [next] unless it is older than the current desired state. */
     fun applyState(next: Configuration, source: String) {
-        if (next.storeVersion <= stateVersion || next.state.version < (state?.version ?: 0)) return
+        if (next.storeVersion <= stateVersion) return
+        freshness.accept(next.storeVersion)
+        if (next.state.version < (state?.version ?: 0)) return
         history.add(next)
         log.log(
             GatewayEvent.STATE_IN_FORCE,
@@ -90,14 +98,15 @@
         notifyChanged()
     }
 
-    private suspend fun decode(row: StoredRow, value: ByteArray): Configuration? {
+    private suspend fun decode(row: StoredRow, value: ByteArray, source: String): Configuration? {
         val startedAt = ticker.now()
         val earlier = history.newest
         val decoded = background.compute {
             codec.desiredState(value).map { Configuration(it, row.version).sharing(earlier) }
         }
         val configuration = decoded.getOrElse {
-            log.log(GatewayEvent.STATE_UNREADABLE, it.detail, row.version)
+            val isNew = freshness.reject(row.version, startedAt, source)
+            if (isNew) log.log(GatewayEvent.STATE_UNREADABLE, it.detail, row.version)
             return null
         }
         log.log(GatewayEvent.STATE_DECODED, row.version, value.size, (ticker.now() - startedAt).inWholeMilliseconds)
@@ -147,7 +156,7 @@
         notifyChanged()
     }
 
-    /** Records that the data was confirmed to be the newest at [at]. */
+    /** Records that the registrations were confirmed to be the newest at [at]. */
     fun confirm(at: Duration) {
         if (at > confirmedAt) confirmedAt = at
     }
