Keep routes that are understood only in part, and report them

Cause: a route of an unknown kind was dropped without a log line, so its callers got 404 and did not try again. One unreadable field of one route rejected the whole version.

Change: the store accepts only valid desired states, so a route that cannot be read means that the operator's format is newer than the code. A route of an unknown kind is served; its requests are executed at most once (RequestKind.UNKNOWN is not retryable), which no kind forbids. Refusing them would be as safe but serves nobody. A route with an unreadable field keeps its place in the table and answers 503 (`unreadable-route`): 404 is final for callers, the route of a shorter prefix would forward to another service, and 503 says that the request has not run, so that an entry with newer code may take it. If its prefix is unreadable too, it stands for what matches no other route of its host. The other routes come into force. A version of which more than routes is unreadable (hosts, services, limits) leaves the earlier one in force as before.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/explain/Cause.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/explain/Cause.kt
@@ -7,6 +7,8 @@
     private val causeByOutcome = mapOf(
         Outcome.ANSWERED to "An upstream answered; the trail tells which attempt took the time.",
         Outcome.NO_ROUTE to "The desired state of that version has no route for its host and path.",
+        Outcome.UNREADABLE_ROUTE to
+            "The entry cannot read the route: its code is older than the operator's format. PW-6113 names it.",
         Outcome.NO_STATE to
             "The entry knew no desired state yet: it had just started, or reached neither store nor peer.",
         Outcome.STOPPING to "The entry was about to end its planned stop; another would have taken the request.",
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
@@ -64,6 +64,22 @@
         "bytes",
         "encodeMs",
     ),
+    ROUTES_OF_UNKNOWN_KIND(
+        6112,
+        Level.WARN,
+        "routes are of an unknown kind; their requests are executed at most once",
+        "version",
+        "count",
+        "routes",
+    ),
+    ROUTES_UNREADABLE(
+        6113,
+        Level.WARN,
+        "routes cannot be parsed; their requests are refused with status 503",
+        "version",
+        "count",
+        "routes",
+    ),
     UPSTREAM_KNOWN(
         6301,
         Level.INFO,
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/GatewayMetrics.kt
@@ -1,8 +1,10 @@
 package io.poplarwood.gateway.metrics
 
 import io.poplarwood.gateway.limit.PermitEvent
+import io.poplarwood.gateway.route.RouteProblemType
 import io.poplarwood.gateway.runtime.Outcome
 import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
@@ -26,6 +28,14 @@
     private val latency = Histogram.builder().name("poplarwood_gateway_latency").unit(Unit.SECONDS)
         .help("Time from a request's head to its answer.").labelNames("priority").classicOnly()
         .classicUpperBounds(*LATENCY_BOUNDS_S).register(registry)
+    private val unreadableStates =
+        counter(
+            "poplarwood_gateway_unreadable_states",
+            "Desired states that could not be parsed; the previous one stayed in effect.",
+        )
+    private val routeProblems = Gauge.builder().name("poplarwood_gateway_route_problems")
+        .help("Routes in force that are understood only in part, by problem.").labelNames("problem").register(registry)
+    private val routeProblemsByType = RouteProblemType.entries.map { routeProblems.labelValues(it.name.lowercase()) }
     private val requestsByOutcome = Outcome.entries.map { requests.labelValues(it.label) }
     private val retriesByReason = RetryReason.entries.map { retries.labelValues(it.name.lowercase()) }
 
@@ -49,6 +59,13 @@
     /** Counts a load probe of an upstream. */
     fun probeSent() = probes.inc()
 
+    /** Counts a desired state that could not be parsed. */
+    fun stateUnreadable() = unreadableStates.inc()
+
+    /** Records that [count] routes of the desired state in force have a problem of [type]. */
+    fun routeProblemsInForce(type: RouteProblemType, count: Int) =
+        routeProblemsByType[type.ordinal].set(count.toDouble())
+
     /** All metrics in the Prometheus text format. */
     fun text(): ByteArray {
         val out = ByteArrayOutputStream()
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/route/RequestKind.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/route/RequestKind.kt
@@ -10,6 +10,9 @@
 
     /** A large body; may be executed at most once. */
     UPLOAD,
+
+    /** A kind that this code does not know; may be executed at most once, as the strictest known kind. */
+    UNKNOWN,
     ;
 
     /** Whether a request that may have been executed can be sent to another upstream. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -31,6 +31,7 @@
 import io.poplarwood.gateway.peer.PeerTable
 import io.poplarwood.gateway.peer.ProbeAssignment
 import io.poplarwood.gateway.route.CallerLimits
+import io.poplarwood.gateway.route.RouteProblemReporter
 import io.poplarwood.gateway.route.SplitPicker
 import io.poplarwood.gateway.settings.GatewaySettings
 import io.poplarwood.gateway.store.StateReplica
@@ -112,7 +113,8 @@
         )
     private val stateBook: StateReplica = StateReplica(adapter.codec, upstreams, ticker, log, ::onStateChanged) {
         upstreamLinks.closeIdle(it.record.address)
-    }
+    }.also { it.onUnreadable = metrics::stateUnreadable }
+    private val routeProblems = RouteProblemReporter(log, metrics)
     private val peers: PeerGossip = PeerGossip(
         peerSocket::send,
         settings.entry,
@@ -287,6 +289,7 @@
     }
 
     private fun onStateChanged() {
+        stateBook.state?.let(routeProblems::report)
         splitPicker.reset()
         dispatchQueued()
         if (peers.serving || !serving) return
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Outcome.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Outcome.kt
@@ -13,6 +13,7 @@
 internal enum class Outcome(val label: String, val status: Int, val event: GatewayEvent) {
     ANSWERED("answered", 0, GatewayEvent.ANSWERED),
     NO_ROUTE("no-route", 404, GatewayEvent.REFUSED),
+    UNREADABLE_ROUTE("unreadable-route", 503, GatewayEvent.REFUSED),
     NO_STATE("no-state", 503, GatewayEvent.REFUSED),
     STOPPING("stopping", 503, GatewayEvent.REFUSED),
     NO_UPSTREAM("no-upstream", 503, GatewayEvent.REFUSED),
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestHandler.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestHandler.kt
@@ -9,6 +9,7 @@
 import io.poplarwood.gateway.log.GatewayEvent
 import io.poplarwood.gateway.metrics.GatewayMetrics
 import io.poplarwood.gateway.peer.LoadGossip
+import io.poplarwood.gateway.route.Route
 import io.poplarwood.gateway.store.StateReplica
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
@@ -79,6 +80,11 @@
         if (refusingNew) return refuse(report, Outcome.STOPPING, OTHER_ENTRY_RETRY_AFTER, close = true)
         val route = stateBook.routes.find(request.host, request.target) ?: return refuse(report, Outcome.NO_ROUTE, null)
         report.route = route
+        if (!route.readable) return refuse(report, Outcome.UNREADABLE_ROUTE, UNREADABLE_ROUTE_RETRY_AFTER)
+        return forward(request, route, report)
+    }
+
+    private suspend fun forward(request: CallerRequest, route: Route, report: RequestReport): CallerResponse {
         val service = decisions.splitPicker.next(route)
         report.service = service.value
         report.fingerprint = request.fingerprint
@@ -113,6 +119,9 @@
 
         /** Short, because another entry can take the request at once. */
         private val OTHER_ENTRY_RETRY_AFTER = 10.milliseconds
+
+        /** An entry whose code is newer may take the request; when none is, retries in quick succession are useless. */
+        private val UNREADABLE_ROUTE_RETRY_AFTER = 500.milliseconds
         private val CRASH_REFUSED_RETRY_AFTER = 10_000.milliseconds
 
         /** Within this time the checks show whether the upstreams have ended. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateReplica.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateReplica.kt
@@ -62,6 +62,9 @@
     /** Until this time a missing registration may come back, because the store was unreachable lately. */
     var expiryGraceUntil: Duration = -Duration.INFINITE
 
+    /** Called for each desired state that cannot be decoded. */
+    var onUnreadable: () -> Unit = {}
+
     /** Applies the row of the desired state unless it is older than the current one. */
     fun applyState(rows: RowSnapshot, source: String) {
         for (row in rows.rows) {
@@ -138,6 +141,7 @@
         val decodeStartedAt = ticker.now()
         val next = codec.desiredState(value).getOrElse {
             log.log(GatewayEvent.STATE_UNREADABLE, it.detail, row.version)
+            onUnreadable()
             return
         }
         if (next.version < (state?.version ?: 0)) return
