--- a/gateway/src/main/kotlin/io/poplarwood/gateway/route/SplitPicker.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/route/SplitPicker.kt
@@ -27,7 +27,7 @@
     /** Credits after a random part of a round. */
     private fun initialCredits(key: String, shares: List<ServiceShare>): DoubleArray {
         val credit = DoubleArray(shares.size)
-        val steps = (startPoint() * minOf(shares.sumOf { it.weight }, MAX_START_STEPS)).toInt()
+        val steps = (startPoint() * minOf(totalWeight(shares), MAX_START_STEPS)).toInt()
         repeat(steps) { advance(credit, shares) }
         credits[key] = credit
         return credit
@@ -39,11 +39,14 @@
             credit[i] += shares[i].weight.toDouble()
             if (credit[i] > credit[best]) best = i
         }
-        credit[best] -= shares.sumOf { it.weight }.toDouble()
+        credit[best] -= totalWeight(shares)
         return best
     }
 
+    /** The sum may exceed an [Int]. */
+    private fun totalWeight(shares: List<ServiceShare>): Double = shares.sumOf { it.weight.toDouble() }
+
     private companion object {
-        const val MAX_START_STEPS = 1_000
+        const val MAX_START_STEPS = 1_000.0
     }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/settings/GatewaySettingsReader.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/settings/GatewaySettingsReader.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import io.poplarwood.gateway.json.JsonNesting
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import java.io.IOException
@@ -29,12 +30,11 @@
 
     /** Reads the settings in [text]; fails with one line for each fault. */
     fun parse(text: String): Result<GatewaySettings, List<String>> {
+        if (JsonNesting.exceedsLimit(text)) return Err(listOf("nested too deeply"))
         val settings = try {
             json.decodeFromString(GatewaySettings.serializer(), text)
         } catch (e: SerializationException) {
             return Err(listOf(e.message.orEmpty().lineSequence().first()))
-        } catch (e: StackOverflowError) {
-            return Err(listOf("nested too deeply"))
         }
         val faults = validate(settings)
         return if (faults.isEmpty()) Ok(settings) else Err(faults)
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/route/SplitPickerSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/route/SplitPickerSpec.kt
@@ -18,6 +18,14 @@
         }
     }
 
+    /** Guards against a sum of weights that exceeds the integers, so that one service receives everything. */
+    @Test
+    fun `keeps the shares of the largest weights`() {
+        val weightedRoute = route("/a/", "s1" to Int.MAX_VALUE, "s2" to Int.MAX_VALUE)
+        val picker = SplitPicker { 0.0 }
+        assertTrue((1..100).count { picker.next(weightedRoute).value == "s2" } in 49..51)
+    }
+
     /** Guards against many entries that all send their first requests to the same service. */
     @Test
     fun `starts each entry at a random point`() {
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/settings/GatewaySettingsReaderSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/settings/GatewaySettingsReaderSpec.kt
@@ -39,6 +39,14 @@
         assertEquals(2.0, settings.bounds.repeatRatio)
     }
 
+    /** Guards against the end of the process by a text of brackets. */
+    @Test
+    fun `reports a text that is nested deeply`() {
+        for (text in listOf("[".repeat(20_000), filledTemplate().replaceFirst("{", "{\"a\":" + "[".repeat(20_000)))) {
+            assertEquals(listOf("nested too deeply"), GatewaySettingsReader.parse(text).getError())
+        }
+    }
+
     /** Guards against an invalid value that is found only when the gateway uses it. */
     @Test
     fun `reports each fault with its path, the value found and what is allowed`() {
