--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -30,6 +30,7 @@
 import io.poplarwood.gateway.peer.PeerTable
 import io.poplarwood.gateway.peer.ProbeAssignment
 import io.poplarwood.gateway.route.CallerLimits
+import io.poplarwood.gateway.route.RouteProblemReporter
 import io.poplarwood.gateway.route.SplitPicker
 import io.poplarwood.gateway.settings.GatewaySettings
 import io.poplarwood.gateway.store.StateReplica
@@ -114,6 +115,7 @@
         StateReplica(adapter.codec, upstreams, background, ticker, log, ::onStateChanged) {
             upstreamLinks.closeIdle(it.record.address)
         }
+    private val routeProblems = RouteProblemReporter(log, metrics)
     private val peers: PeerGossip = PeerGossip(
         peerSocket::send,
         settings.entry,
@@ -307,6 +309,7 @@
     }
 
     private fun onStateChanged() {
+        stateBook.state?.let(routeProblems::report)
         splitPicker.reset()
         dispatchQueued()
         peers.announceState()
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestHandler.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestHandler.kt
@@ -9,6 +9,7 @@
 import io.poplarwood.gateway.log.GatewayEvent
 import io.poplarwood.gateway.metrics.GatewayMetrics
 import io.poplarwood.gateway.peer.LoadGossip
+import io.poplarwood.gateway.route.Route
 import io.poplarwood.gateway.store.StateReplica
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
@@ -82,6 +83,11 @@
         report.route = route
         val freshness = configurationAdmission.verdict(route != null)
         if (route == null || freshness != FreshnessVerdict.SERVE) return refuseFor(freshness, report)
+        if (!route.readable) return refuse(report, Outcome.UNREADABLE_ROUTE, UNREADABLE_ROUTE_RETRY_AFTER)
+        return forward(request, route, report)
+    }
+
+    private suspend fun forward(request: CallerRequest, route: Route, report: RequestReport): CallerResponse {
         val service = decisions.splitPicker.next(route)
         report.service = service.value
         report.fingerprint = request.fingerprint
@@ -125,6 +131,9 @@
 
         /** Longer, because no entry is known that can tell whether the route was added. */
         private val UNCONFIRMED_RETRY_AFTER = 200.milliseconds
+
+        /** An entry whose code is newer may take the request; when none is, retries in quick succession are useless. */
+        private val UNREADABLE_ROUTE_RETRY_AFTER = 500.milliseconds
         private val CRASH_REFUSED_RETRY_AFTER = 10_000.milliseconds
 
         /** Within this time the checks show whether the upstreams have ended. */
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/runtime/ConfigurationLagLogSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/runtime/ConfigurationLagLogSpec.kt
@@ -8,6 +8,7 @@
 import io.poplarwood.gateway.log.GatewayEvent
 import io.poplarwood.gateway.route.CallerLimits
 import io.poplarwood.gateway.route.DesiredState
+import io.poplarwood.gateway.route.RouteTable
 import io.poplarwood.gateway.store.RowSnapshot
 import io.poplarwood.gateway.store.StateCodec
 import io.poplarwood.gateway.store.StateReplica
@@ -16,8 +17,8 @@
 import io.poplarwood.gateway.support.upstream
 import io.poplarwood.gateway.upstream.Upstream
 import io.poplarwood.gateway.upstream.UpstreamTable
-import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.coroutines.runBlocking
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.time.Duration
@@ -27,7 +28,7 @@
 class ConfigurationLagLogSpec {
     private var now: Duration = 100.seconds
     private val lines = ArrayList<String>()
-    private val book = StateReplica(Codec, UpstreamTable(), Ticker { now }, EventLog(), {}, {})
+    private val book = StateReplica(Codec, UpstreamTable(), { it() }, Ticker { now }, EventLog(), {}, {})
     private val lagLog = ConfigurationLagLog(book, Ticker { now }) { event: GatewayEvent, values ->
         lines += "${event.id} ${values.joinToString(" ")}"
     }
@@ -36,14 +37,15 @@
     private object Codec : StateCodec {
         override fun desiredState(value: ByteArray): Result<DesiredState, StoreError.Malformed> {
             val version = value.decodeToString().toLongOrNull() ?: return Err(StoreError.Malformed("not a number"))
-            return Ok(DesiredState(version, persistentMapOf(), persistentListOf(), CallerLimits()))
+            return Ok(DesiredState(version, persistentMapOf(), RouteTable.EMPTY, CallerLimits()))
         }
 
         override fun upstream(key: String, value: ByteArray): Result<Upstream, StoreError.Malformed> = Ok(upstream(key))
     }
 
-    private fun apply(value: String, version: Long) =
-        book.applyState(RowSnapshot(listOf(StoredRow("c", value.encodeToByteArray(), version)), version), "store")
+    private fun apply(value: String, version: Long) = runBlocking {
+        book.applyStateRows(RowSnapshot(listOf(StoredRow("c", value.encodeToByteArray(), version)), version), "store")
+    }
 
     private fun checkAfter(time: Duration) {
         now += time
