Let stale entries query the store within a second while it answers

Cause: an entry whose data was not confirmed for 1.5 s drew the time of its query from 60 ms for each entry, 8 s with 134, so that sound standby entries did not look while all that take callers had slow links. Only registrations were confirmed: a query for them kept the desired state from being asked for. It applies while the store answered any entry within the last second; while it answers nobody the pace is the former one. The desired state has a confirmation of its own (heartbeats: sm, in milliseconds), dated by the begin of an answer. When the store answers, but no entry that takes callers can read what is new there, the limit is 0.5 s in place of 1.5 s.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/EntryHttpClient.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/EntryHttpClient.kt
@@ -59,11 +59,11 @@
     }
 
     /**
-     * Gets [path] at [address] (`ip:port`) within limits on the progress of the reply, so that a large reply over a slow
-     * link is received whole. Returns null if no complete reply was received.
+     * Gets [path] at [address] (`ip:port`) within limits on the progress of the reply, so that a large reply over a
+     * slow link is received whole. Returns null if no complete reply was received.
      *
-     * @param onBody called with the length of the body, as far as it is known, when the head arrives and with each piece
-     *   of the body
+     * @param onBody called with the length of the body, as far as it is known, when the head arrives and with each
+     *   piece of the body
      * @param maxReplyBytes a reply with a longer body counts as no reply
      */
     suspend fun get(
@@ -202,8 +202,8 @@
         const val MAX_REPLY_BYTES = 16 * 1024 * 1024
 
         /**
-         * The arrival of bytes is checked this often within the stall limit, so that one pause of the event loop does not
-         * end a call whose bytes are waiting in the socket.
+         * The arrival of bytes is checked this often within the stall limit, so that one pause of the event loop does
+         * not end a call whose bytes are waiting in the socket.
          */
         const val STALL_CHECKS = 4
     }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/FollowerSelection.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/FollowerSelection.kt
@@ -7,8 +7,8 @@
 /**
  * Selects the entries that follow the store for all: a few that the store answers, of different zones where possible.
  * The load on the store does not grow with the number of entries, and the loss of one follower does not interrupt the
- * updates. While a follower takes long to read a desired state, the next entry follows too, since the link of a follower
- * may be slow.
+ * updates. While a follower takes long to read a desired state, the next entry follows too, since a follower's link may be
+ * slow.
  *
  * An entry whose data was not confirmed lately queries the store itself, whatever other entries report, because the
  * store may refuse some entries. In an outage every entry would do so, hence the rate is shared among all entries.
@@ -21,6 +21,7 @@
      * @param answers whether the store answers this entry
      * @param now reading of this entry's ticker
      * @param staleness time since the data of this entry was confirmed to be the newest
+     * @param storeAnswers whether the store answered any entry lately
      */
     fun mode(
         peers: Collection<PeerStatus>,
@@ -28,6 +29,7 @@
         answers: Boolean,
         now: Duration,
         staleness: Duration,
+        storeAnswers: Boolean,
     ): FollowMode {
         val others = peers.filter { peer -> peer.active && peer.hello?.stopping == false }
         val reachingStore = others.filter { it.hello?.storeAnswers ?: false }
@@ -36,11 +38,19 @@
         val selected = active && (answers || reachingStore.isEmpty()) && preceding < FOLLOWER_COUNT
         return when {
             selected -> FollowMode.QUICK
-            staleness > MAX_STALENESS -> FollowMode.SHARED
+            staleness > maxStaleness(others, now, storeAnswers) -> FollowMode.SHARED
             else -> FollowMode.NONE
         }
     }
 
+    /** Shorter when the store answers, but none of the [others] that take callers can read what is new there. */
+    private fun maxStaleness(others: List<PeerStatus>, now: Duration, storeAnswers: Boolean): Duration {
+        val allLate = others.isNotEmpty() && others.all {
+            it.readingTime(now) > MAX_READING_TIME || it.hello?.storeAnswers == false
+        }
+        return if (storeAnswers && allLate) MAX_STALENESS_IF_LATE else MAX_STALENESS
+    }
+
     /** Number of [competitors] that precede this entry: the first of each zone, then the second of each, and so on. */
     private fun precedingCount(competitors: List<PeerStatus>): Int {
         val own = Candidate(self, zone)
@@ -61,5 +71,6 @@
 
         /** A call of a follower ends within a second, and its next heartbeat then confirms the versions. */
         val MAX_STALENESS = 1_500.milliseconds
+        val MAX_STALENESS_IF_LATE = 500.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
@@ -6,6 +6,7 @@
 import io.poplarwood.gateway.log.GatewayEvent
 import io.poplarwood.gateway.store.FollowCoordinator
 import io.poplarwood.gateway.store.FollowMode
+import io.poplarwood.gateway.store.QueryPacing
 import io.poplarwood.gateway.store.RowSnapshot
 import io.poplarwood.gateway.store.StateReplica
 import io.poplarwood.gateway.store.Topic
@@ -13,11 +14,13 @@
 import java.util.EnumSet
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Sends the state of this entry to other entries and merges what they send.
  *
  * @param send sends a message to each of the given `ip:port`; delivery is not guaranteed
+ * @param readsPerSecond read calls per second to the store that all entries together may make
  * @param pump called after a message that may allow queued requests to proceed
  */
 internal class PeerGossip(
@@ -30,6 +33,7 @@
     crashes: CrashSuspects,
     private val ticker: Ticker,
     private val log: EventLog,
+    private val readsPerSecond: Double,
     private val pump: () -> Unit,
 ) : FollowCoordinator {
     private val startedAt = ticker.now()
@@ -49,6 +53,7 @@
 
     private val unansweredTopics = EnumSet.noneOf(Topic::class.java)
     private val followerSelection = FollowerSelection(self, record.zone)
+
     /** Since when a newer desired state has been arriving from the store; null while none is. */
     private var readingSince: Duration? = null
     private var readingAnnounced = false
@@ -66,7 +71,12 @@
     var requestSync: () -> Unit = {}
     private var announcedVersions = 0L to 0L
 
-    override val entryCount: Int get() = table.all.size + 1
+    /** When the store last answered any entry, as far as this entry knows. */
+    private var storeAnsweredAt = -Duration.INFINITE
+    private val storeAnsweredLately: Boolean get() = ticker.now() - storeAnsweredAt < LATELY
+
+    override val pacing: QueryPacing
+        get() = QueryPacing(table.all.size + 1, roles.active, storeAnsweredLately, readsPerSecond)
 
     private var nextTick = CompletableDeferred<Unit>()
 
@@ -128,6 +138,7 @@
         upstreamVersion = book.upstreamVersion,
         coveredVersion = book.coveredVersion,
         confirmedMs = (now - book.confirmedAt).inWholeMilliseconds,
+        stateConfirmedMs = (now - book.stateConfirmedAt).inWholeMilliseconds,
         upMs = (now - startedAt).inWholeMilliseconds,
         requestsPerS = roles.requestsPerS,
         capacity = record.capacity,
@@ -146,19 +157,22 @@
         send(PeerMessage.LoadUpdate(self, updates), recipients.map { it.record.peers })
     }
 
-    override fun mode(): FollowMode {
+    override fun mode(topic: Topic): FollowMode {
         if (stopping) return FollowMode.NONE
         val now = ticker.now()
-        return followerSelection.mode(table.live, roles.active, storeAnswers, now, now - book.confirmedAt)
+        val staleness = now - if (topic == Topic.DESIRED_STATE) book.stateConfirmedAt else book.confirmedAt
+        return followerSelection.mode(table.live, roles.active, storeAnswers, now, staleness, storeAnsweredLately)
     }
 
     override fun rowsArriving(topic: Topic, arriving: Boolean) {
+        if (arriving) storeAnsweredAt = ticker.now()
         if (topic == Topic.DESIRED_STATE) readingSince = if (arriving) ticker.now() else null
     }
 
     override fun storeAnswered(topic: Topic, answered: Boolean) {
         val changed = if (answered) unansweredTopics.remove(topic) else unansweredTopics.add(topic)
         if (changed) heartbeatDue = true
+        if (answered) storeAnsweredAt = ticker.now()
     }
 
     override fun version(topic: Topic): Long = if (topic == Topic.UPSTREAMS) book.coveredVersion else book.stateVersion
@@ -199,6 +213,10 @@
     /** Compares the store versions of the sender with the own ones: requests newer rows or confirms the own ones. */
     private fun compareVersions(hello: PeerMessage.Hello) {
         if (hello.upstreamVersion <= book.coveredVersion) book.advanceCoveredVersion(hello.coveredVersion)
+        val answerAge = if (hello.readingMs > 0) 0 else minOf(hello.confirmedMs, hello.stateConfirmedMs)
+        storeAnsweredAt = maxOf(storeAnsweredAt, ticker.now() - answerAge.milliseconds)
+        val stateConfirmedAt = ticker.now() - hello.stateConfirmedMs.milliseconds - MAX_TRANSIT
+        if (hello.stateVersion <= book.stateVersion) book.confirmState(stateConfirmedAt)
         val isBehind = hello.upstreamVersion > book.upstreamVersion || hello.stateVersion > book.stateVersion
         if (isBehind) requestSync() else book.confirm(ticker.now() - hello.confirmedMs.milliseconds - MAX_TRANSIT)
     }
@@ -236,6 +254,9 @@
         /** Upper bound on the transit time of a heartbeat. */
         val MAX_TRANSIT = 50.milliseconds
 
+        /** A store that did not answer any entry for this long counts as unavailable to all. */
+        val LATELY = 1.seconds
+
         /** A larger datagram may be fragmented or dropped on the path. */
         const val MAX_UPDATE_BYTES = 1_000
     }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
@@ -25,6 +25,7 @@
      * @property upstreamVersion store version of the newest change of a registration that the sender has
      * @property coveredVersion store version up to which the sender has every registration
      * @property confirmedMs staleness: time since these versions were confirmed to be the newest, in milliseconds
+     * @property stateConfirmedMs time since the store was confirmed to have no newer desired state, in milliseconds
      * @property upMs time since the sender started, in milliseconds
      * @property requestsPerS requests per second that the sender received lately
      * @property capacity requests per second that the VM of the sender can carry
@@ -50,6 +51,7 @@
         @SerialName("uv") val upstreamVersion: Long,
         @SerialName("cv") val coveredVersion: Long,
         @SerialName("cm") val confirmedMs: Long,
+        @SerialName("sm") val stateConfirmedMs: Long = confirmedMs,
         @SerialName("um") val upMs: Long,
         @SerialName("q") val requestsPerS: Int,
         @SerialName("y") val capacity: Int = PeerRecord.DEFAULT_CAPACITY,
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -123,6 +123,7 @@
         decisions.crashSuspects,
         ticker,
         log,
+        settings.store.readsPerSecond,
     ) {
         dispatchQueued()
     }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/FollowCoordinator.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/FollowCoordinator.kt
@@ -4,13 +4,14 @@
  * Coordinates which entries follow the store, so that the number of its calls does not grow with the number of entries.
  */
 internal interface FollowCoordinator {
-    fun mode(): FollowMode
+    /** How this entry follows [topic]. */
+    fun mode(topic: Topic): FollowMode
 
     /** Waits until [mode] may have changed. */
     suspend fun awaitTick()
 
-    /** Number of entries among which the rate of [FollowMode.SHARED] is divided. */
-    val entryCount: Int
+    /** Pace of the queries in [FollowMode.SHARED] now. */
+    val pacing: QueryPacing
 
     /** Records whether the store answered the last call about [topic]. */
     fun storeAnswered(topic: Topic, answered: Boolean)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateReplica.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateReplica.kt
@@ -56,6 +56,10 @@
     var confirmedAt: Duration = -Duration.INFINITE
         private set
 
+    /** When this entry or a peer last confirmed that the store has no newer desired state. */
+    var stateConfirmedAt: Duration = -Duration.INFINITE
+        private set
+
     /** Completed once a desired state and the registrations have arrived. */
     val initialized = CompletableDeferred<Unit>()
 
@@ -111,6 +115,11 @@
         notifyChanged()
     }
 
+    /** Records that the store had no newer desired state at [at] than those that this entry has received. */
+    fun confirmState(at: Duration) {
+        if (at > stateConfirmedAt) stateConfirmedAt = at
+    }
+
     /** Records that the data was confirmed to be the newest at [at]. */
     fun confirm(at: Duration) {
         if (at > confirmedAt) confirmedAt = at
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateWatcher.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateWatcher.kt
@@ -33,6 +33,9 @@
     private var responseMargin = RESPONSE_MARGIN
     private var hasPolled = false
 
+    /** When the last answer began to arrive; it shows the store as of that time. */
+    private var answeredAt = -Duration.INFINITE
+
     /** Reads all rows of the topic; retries until a read succeeds. */
     suspend fun readSnapshot() {
         while (true) {
@@ -78,6 +81,7 @@
                 arrivingSince = ticker.now()
                 coordinator.rowsArriving(topic, true)
             }
+            answeredAt = arrivingSince ?: ticker.now()
             arrivingSince?.let { logSlowArrival(ticker.now() - it, result) }
             return result
         } finally {
@@ -94,24 +98,36 @@
     /** Returns true when this entry is to call the store now; otherwise suspends until the mode may have changed. */
     private suspend fun awaitPollDue(): Boolean {
         if (unansweredSince != null) return true
-        when (coordinator.mode()) {
-            FollowMode.QUICK -> return true
-            FollowMode.NONE -> coordinator.awaitTick()
-            FollowMode.SHARED -> {
-                awaitFollowing(SHARED_INTERVAL * (coordinator.entryCount * random.nextDouble()))
-                return coordinator.mode() != FollowMode.NONE
+        return when (coordinator.mode(topic)) {
+            FollowMode.QUICK -> true
+            FollowMode.SHARED -> awaitQueryDue()
+            FollowMode.NONE -> {
+                coordinator.awaitTick()
+                false
             }
         }
-        return false
+    }
+
+    /** Waits for the time of this entry's query; returns false when the data is no longer stale. */
+    private suspend fun awaitQueryDue(): Boolean {
+        val draw = random.nextDouble()
+        val from = ticker.now()
+        while (coordinator.mode(topic) == FollowMode.SHARED && ticker.now() - from < coordinator.pacing.delay(draw)) {
+            coordinator.awaitTick()
+        }
+        return coordinator.mode(topic) != FollowMode.NONE
     }
 
     private fun apply(rows: RowSnapshot, full: Boolean) {
         val versionBefore = if (topic == Topic.UPSTREAMS) book.upstreamVersion else version
         when (topic) {
-            Topic.DESIRED_STATE -> book.applyState(rows, "store")
+            Topic.DESIRED_STATE -> {
+                book.applyState(rows, "store")
+                book.confirmState(answeredAt)
+            }
             Topic.UPSTREAMS -> {
                 if (full) book.applyAllUpstreams(rows, "store") else book.applyUpstreamChanges(rows, version, "store")
-                book.confirm(ticker.now())
+                book.confirm(answeredAt)
             }
             Topic.ENTRIES -> Unit
         }
@@ -143,18 +159,22 @@
 
     private suspend fun awaitRetry() {
         val jitter = MIN_JITTER + random.nextDouble()
-        when (coordinator.mode()) {
-            FollowMode.QUICK -> delay(backoff * jitter)
-            FollowMode.SHARED -> awaitFollowing(maxOf(backoff, SHARED_INTERVAL * coordinator.entryCount) * jitter)
-            FollowMode.NONE -> awaitFollowing(maxOf(STANDBY_BACKOFF, SHARED_INTERVAL * coordinator.entryCount) * jitter)
-        }
+        if (coordinator.mode(topic) == FollowMode.QUICK) delay(backoff * jitter) else awaitFollowing(jitter)
         backoff = minOf(backoff * 2, MAX_BACKOFF)
     }
 
-    /** Waits for [maxWait], or until this entry becomes a follower. */
-    private suspend fun awaitFollowing(maxWait: Duration) {
-        val until = ticker.now() + maxWait
-        while (ticker.now() < until && coordinator.mode() != FollowMode.QUICK) coordinator.awaitTick()
+    /** Waits until this entry becomes a follower, or until it is time for another try. */
+    private suspend fun awaitFollowing(jitter: Double) {
+        val from = ticker.now()
+        while (true) {
+            val pause = when (coordinator.mode(topic)) {
+                FollowMode.QUICK -> return
+                FollowMode.SHARED -> maxOf(backoff, coordinator.pacing.period)
+                FollowMode.NONE -> maxOf(STANDBY_BACKOFF, coordinator.pacing.outagePeriod)
+            }
+            if (ticker.now() - from >= pause * jitter) return
+            coordinator.awaitTick()
+        }
     }
 
     private companion object {
@@ -164,7 +184,10 @@
          */
         val LONG_POLL_WAIT = 800.milliseconds
 
-        /** Time allowed until an answer begins, in addition to the call's long-poll time; doubles with each failed call. */
+        /**
+         * Time allowed until an answer begins, in addition to the long-poll time of the call; doubles with each failed
+         * call.
+         */
         val RESPONSE_MARGIN = 400.milliseconds
         val MAX_RESPONSE_MARGIN = 1_600.milliseconds
 
@@ -176,12 +199,6 @@
         val INITIAL_BACKOFF = 50.milliseconds
         val MAX_BACKOFF = 500.milliseconds
 
-        /**
-         * A stale entry waits about this long, for each entry that there is, between two polls. This bounds the rate of
-         * all entries together.
-         */
-        val SHARED_INTERVAL = 60.milliseconds
-
         /** Poll interval of an entry for which others follow the store, after a failure. */
         val STANDBY_BACKOFF = 2.seconds
 
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/ManyEntriesSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/ManyEntriesSpec.kt
@@ -132,6 +132,25 @@
 
     @Nested
     inner class Store {
+        /** Guards against entries that query the store although others follow it for them. */
+        @Test
+        fun `receives calls from its followers alone while it answers`() = simulate(perZone = 30) { cluster ->
+            store.calls.clear()
+            delay(20.seconds)
+            assertEquals(2, store.calls.size, "calls by ${store.calls} of ${cluster.entries.size}")
+        }
+
+        /** Guards against an outage that goes unnoticed at first, so that stale entries query as if the store answered. */
+        @Test
+        fun `receives a bounded number of calls when an outage begins`() = simulate(perZone = 30) { cluster ->
+            store.downFor += cluster.entries.map { it.name }
+            store.calls.clear()
+            delay(4.seconds)
+            val calls = store.calls.values.sum()
+            store.downFor.clear()
+            assertTrue(calls < MAX_CALLS_PER_S * 4, "$calls calls in four seconds")
+        }
+
         /** Guards against an outage in which every entry retries its calls to the store at full rate. */
         @Test
         fun `receives a bounded number of calls per second from all entries during an outage`() =
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedCluster.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedCluster.kt
@@ -134,6 +134,7 @@
             crashes,
             ticker,
             log,
+            READS_PER_S,
         ) {}
 
         val sync = PeerSync(::fetch, table, book, zone, scope, ticker, log)
@@ -219,6 +220,8 @@
     }
 
     private companion object {
+        /** Read calls per second that a store allows to 134 entries. */
+        const val READS_PER_S = 6_000.0
         val DATAGRAM_TIME: Duration = 2.milliseconds
         val ACTIVE_TICK: Duration = 100.milliseconds
         val STANDBY_TICK: Duration = 250.milliseconds
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedStore.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedStore.kt
@@ -21,7 +21,7 @@
     /** Names of entries whose calls time out. */
     val downFor = HashSet<String>()
 
-    /** Time that an answer with the desired state takes to arrive, by entry name; [Duration.INFINITE] when it stalls. */
+    /** Time that an answer with the desired state takes to arrive, by entry name; infinite when it stalls. */
     val arrivalTime = HashMap<String, Duration>()
 
     /** Version up to which the change history has been dropped. */
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SlowFollowersSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SlowFollowersSpec.kt
@@ -28,6 +28,7 @@
         affected: (List<String>) -> List<String>,
     ): Duration {
         var elapsed = Duration.ZERO
+        var calls = 0
         store.arrivalTime.clear()
         runTest(timeout = 5.minutes) {
             store.put(Topic.DESIRED_STATE, "c", "1")
@@ -40,16 +41,23 @@
             for (name in slow) store.arrivalTime[name] = arrivalTime
             store.put(Topic.DESIRED_STATE, "c", "2")
             val from = testScheduler.currentTime
-            while (cluster.entries.any { it.book.state?.version != 2L } && testScheduler.currentTime - from < MAX_WAIT_MS) {
+            store.calls.clear()
+            while (cluster.entries.any { it.book.state?.version != 2L } &&
+                testScheduler.currentTime - from < MAX_WAIT_MS
+            ) {
                 delay(STEP)
             }
+            calls = store.calls.values.sum()
             elapsed = (testScheduler.currentTime - from).milliseconds
             backgroundScope.coroutineContext.cancelChildren()
         }
+        assertTrue(calls < perZone * ZONES.size, "$calls calls to the store")
         return elapsed
     }
 
-    private fun firstOfEachZone(names: List<String>) = names.groupBy { it.substringBefore('-') }.values.map { it.first() }
+    private fun firstOfEachZone(names: List<String>) = names.groupBy {
+        it.substringBefore('-')
+    }.values.map { it.first() }
 
     @Nested
     inner class `a new desired state` {
@@ -68,6 +76,29 @@
         }
     }
 
+    @Nested
+    inner class `when no entry that takes callers has a sound link, a new desired state` {
+        private fun firstTwoOfEachZone(names: List<String>) =
+            names.groupBy { it.substringBefore('-') }.values.flatMap { it.take(2) }
+
+        /** Guards against sound entries that wait to query the store for a time that grows with their number. */
+        @Test
+        fun `reaches all of many entries in time by the queries of the others`() {
+            val slow = worstTime(perZone = 34, arrivalTime = 4.seconds, ::firstTwoOfEachZone)
+            assertTrue(slow < BOUND, "took $slow")
+            val stalled = worstTime(perZone = 34, arrivalTime = Duration.INFINITE, ::firstTwoOfEachZone)
+            assertTrue(stalled < BOUND, "took $stalled")
+        }
+
+        @Test
+        fun `reaches all of twelve entries in time by the queries of the others`() {
+            val slow = worstTime(perZone = 3, arrivalTime = 4.seconds, ::firstTwoOfEachZone)
+            assertTrue(slow < BOUND, "took $slow")
+            val stalled = worstTime(perZone = 3, arrivalTime = Duration.INFINITE, ::firstTwoOfEachZone)
+            assertTrue(stalled < BOUND, "took $stalled")
+        }
+    }
+
     private companion object {
         val ZONES = listOf("a", "b", "c", "d")
         val SEEDS = 1L..10L
