--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -70,7 +70,7 @@
     private val log = EventLog()
     private val metrics = GatewayMetrics()
     private val httpClient = EntryHttpClient(eventLoopGroup)
-    private val store = adapter.createStore(httpClient, settings.store)
+    private val store = adapter.createStore(httpClient, settings.store, background)
     private val upstreams = UpstreamTable()
     private val peerTable = PeerTable(settings.entry)
     private val record =
@@ -126,6 +126,7 @@
         decisions.crashSuspects,
         ticker,
         log,
+        settings.store.readsPerSecond,
     ) {
         dispatchQueued()
     }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateReplica.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateReplica.kt
@@ -65,9 +65,6 @@
     var confirmedAt: Duration = -Duration.INFINITE
         private set
 
-    /** The older of the times when the registrations and when [state] were last confirmed to be the newest. */
-    val allConfirmedAt: Duration get() = minOf(confirmedAt, freshness.confirmedAt)
-
     /** Completed once a desired state and the registrations have arrived. */
     val initialized = CompletableDeferred<Unit>()
 
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedCluster.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedCluster.kt
@@ -158,6 +158,7 @@
             crashes,
             ticker,
             log,
+            READS_PER_S,
         ) {}
 
         val exchange =
@@ -254,6 +255,9 @@
 
     private companion object {
         const val DEFAULT_LINK_MBPS = 1_000.0
+
+        /** Read calls per second that a store allows to 134 entries. */
+        const val READS_PER_S = 6_000.0
         val DATAGRAM_TIME: Duration = 2.milliseconds
 
         /** As in GatewayProcess. */
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedStore.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedStore.kt
@@ -28,10 +28,7 @@
     /** Links of the readers; unlimited while there are none. */
     var links: SimulatedLinks? = null
 
-    /**
-     * Time that an answer with the desired state takes to arrive, by entry name; [Duration.INFINITE] when it
-     * stalls.
-     */
+    /** Time that an answer with the desired state takes to arrive, by entry name; infinite when it stalls. */
     val arrivalTime = HashMap<String, Duration>()
 
     /** Version up to which the change history has been dropped. */
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/route/RouteProblemReporterSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/route/RouteProblemReporterSpec.kt
@@ -5,7 +5,6 @@
 import ch.qos.logback.core.read.ListAppender
 import io.poplarwood.gateway.log.EventLog
 import io.poplarwood.gateway.metrics.GatewayMetrics
-import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toImmutableList
 import org.junit.jupiter.api.AfterEach
