Build the serializer of peer messages once in place of once a message

Cause: PeerMessage.serializer() of a sealed interface builds a SealedClassSerializer with all its descriptors on each call, and the reified encode and decode functions call it for each datagram sent and received. In a profile of the event loop it is among the most frequent frames. Change: PeerSocket keeps the serializer.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerSocket.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerSocket.kt
@@ -12,8 +12,6 @@
 import io.poplarwood.gateway.http.awaitChannel
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
-import kotlinx.serialization.decodeFromByteArray
-import kotlinx.serialization.encodeToByteArray
 import java.net.InetSocketAddress
 
 /**
@@ -27,6 +25,9 @@
     private val onMalformed: () -> Unit,
 ) {
     private val cbor = Cbor { ignoreUnknownKeys = true }
+
+    /** `PeerMessage.serializer()` builds the serializer and its descriptors anew on each call. */
+    private val serializer = PeerMessage.serializer()
     private val addresses = HashMap<String, InetSocketAddress>()
     private var channel: Channel? = null
 
@@ -44,7 +45,7 @@
     /** Sends [message] to each of [peers], given as `ip:port`; does nothing before [start] has returned. */
     fun send(message: PeerMessage, peers: List<String>) {
         val socket = channel ?: return
-        val bytes = cbor.encodeToByteArray<PeerMessage>(message)
+        val bytes = cbor.encodeToByteArray(serializer, message)
         for (peer in peers) {
             val to = addresses.getOrPut(peer) { UpstreamConnectionPool.socketAddress(peer) }
             socket.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), to))
@@ -56,7 +57,7 @@
         val bytes = ByteArray(packet.content().readableBytes())
         packet.content().readBytes(bytes)
         try {
-            onMessage(cbor.decodeFromByteArray<PeerMessage>(bytes))
+            onMessage(cbor.decodeFromByteArray(serializer, bytes))
         } catch (e: SerializationException) {
             onMalformed()
         } catch (e: IllegalArgumentException) {
