--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -71,7 +71,9 @@
     private val log = EventLog()
     private val metrics = GatewayMetrics()
     private val httpClient = EntryHttpClient(eventLoopGroup)
-    private val backgroundThread = Executors.newSingleThreadExecutor { Thread(it, "background").apply { isDaemon = true } }
+    private val backgroundThread = Executors.newSingleThreadExecutor {
+        Thread(it, "background").apply { isDaemon = true }
+    }
     private val backgroundDispatcher = backgroundThread.asCoroutineDispatcher()
     private val background = BackgroundWork { block -> withContext(backgroundDispatcher) { block() } }
     private val store = adapter.createStore(httpClient, settings.store, background)
