Let the self-test take in two changes of 1,900 routes

Cause: the self-test, which also records the classes that a start loads, had configurations of two routes only, so neither the exchange of configurations between entries was checked on loopback nor its classes were in the archive of classes. Change: a third entry with a link of 7 Mbit/s to the store joins; all three must serve the last route of each of two changes.

--- a/daemon/src/main/kotlin/io/poplarwood/daemon/SelfTest.kt
+++ b/daemon/src/main/kotlin/io/poplarwood/daemon/SelfTest.kt
@@ -14,8 +14,8 @@
 import kotlin.concurrent.thread
 
 /**
- * Runs two gateways, one of them by [GatewayRunner] with signal handling, against a stand-in store and stand-in
- * upstreams on loopback, and checks that requests are served. The build runs it to record which classes a start loads.
+ * Runs two gateways, one of them by [GatewayRunner] with signal handling, and later a third, against a stand-in store and
+ * stand-in upstreams on loopback, and checks that requests are served and that large changes come into force. The build runs it to record which classes a start loads.
  */
 object SelfTest {
     /** Number of request pairs sent: a read and a non-idempotent write each. */
@@ -41,20 +41,22 @@
     fun run(): Int {
         GatewayLogging.enable()
         StandInCell(graceS = GRACE_S).use { cell ->
-            cell.putDesiredState(
-                1,
-                // One attempt may be shed, and the next one crash its upstream.
-                StandInCell.routeJson("/read/", maxAttempts = 3),
-                StandInCell.routeJson("/write/", StandInCell.NON_IDEMPOTENT, "s2"),
-            )
+            // One attempt may be shed, and the next one crash its upstream.
+            val read = StandInCell.routeJson("/read/", maxAttempts = 3)
+            val write = StandInCell.routeJson("/write/", StandInCell.NON_IDEMPOTENT, "s2")
+            cell.putDesiredState(1, read, write)
             for (i in 1..3) cell.startUpstream("u$i")
             for (i in 4..5) cell.startUpstream("u$i", service = "s2")
             startFaultyUpstreams(cell)
             val arrivals = startLimitedUpstream(cell)
             val startMs = ArrivalTimes.nowMs()
-            val daemon = startDaemon(cell.settings("entry-2"))
+            val daemonSettings = cell.settings("entry-2")
+            val daemon = startDaemon(daemonSettings)
             val (first, settings) = cell.startGateway("entry-1")
             val served = (1..REQUESTS).count { sendPair(settings.listen.callers, it) }
+            LargeChangeCheck(cell, listOf(read, write)).use { check ->
+                for (version in 2..3) check.run(version, listOf(settings, daemonSettings).map { it.listen.callers })
+            }
             Signal.raise(Signal("TERM"))
             daemon.join()
             runBlocking { first.stop() }
