--- a/daemon/src/main/kotlin/io/poplarwood/daemon/LargeChangeCheck.kt
+++ b/daemon/src/main/kotlin/io/poplarwood/daemon/LargeChangeCheck.kt
@@ -8,8 +8,8 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Adds thousands of routes while the self-test runs and checks that all entries serve the last of them in time. An entry
- * with a small link to the store takes the change from the others.
+ * Adds thousands of routes while the self-test runs and checks that all entries serve the last of them in time. An
+ * entry with a small link to the store takes the change from the others.
  *
  * @param base routes that the configuration keeps
  */
