--- a/daemon/src/main/kotlin/io/poplarwood/daemon/SelfTest.kt
+++ b/daemon/src/main/kotlin/io/poplarwood/daemon/SelfTest.kt
@@ -15,7 +15,8 @@
 
 /**
  * Runs two gateways, one of them by [GatewayRunner] with signal handling, and later a third, against a stand-in store
- * and stand-in upstreams on loopback, and checks that requests are served and that large changes come into force. The build runs it to record which classes a start loads.
+ * and stand-in upstreams on loopback, and checks that requests are served and that large changes come into force. The
+ * build runs it to record which classes a start loads.
  */
 object SelfTest {
     /** Number of request pairs sent: a read and a non-idempotent write each. */
