Receive datagrams of entries whole

Callers saw nothing of it directly: an entry with requests at more than about 86 upstreams counted as silent to all others that take callers, which then knew neither its load nor its versions. Cause: the socket read into Netty's default buffer of 2,048 bytes, so a longer heartbeat was cut, could not be decoded, and was dropped without a line or a count. Change: a buffer of 64 KB, and a counter of datagrams that cannot be decoded.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/GatewayMetrics.kt
@@ -25,6 +25,8 @@
             "Permits for upstreams with a rate limit, by what became of them.",
             "event",
         )
+    private val malformedDatagrams =
+        counter("poplarwood_gateway_malformed_datagrams", "Datagrams of other entries that could not be decoded.")
     private val transfers = counter(
         "poplarwood_gateway_configuration_transfers",
         "Transfers of configuration changes between entries, by what became of them.",
@@ -47,6 +49,9 @@
     private val transferBytesByEvent = listOf(TransferEvent.SENT, TransferEvent.RECEIVED)
         .associateWith { transferBytes.labelValues(it.name.lowercase()) }
 
+    /** Counts a datagram of another entry that cannot be decoded. */
+    fun datagramMalformed() = malformedDatagrams.inc()
+
     /** Counts a transfer of [bytes] of a configuration change, and what became of it. */
     fun transferred(event: TransferEvent, bytes: Int = 0) {
         transfersByEvent[event.ordinal].inc()
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerSocket.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerSocket.kt
@@ -4,7 +4,9 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
+import io.netty.channel.FixedRecvByteBufAllocator
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
@@ -15,8 +17,8 @@
 import java.net.InetSocketAddress
 
 /**
- * Sends and receives the datagrams of entries at [address]. For a datagram that cannot be decoded, [unreadable] is
- * called and the datagram is dropped.
+ * Sends and receives the datagrams of entries at [address]. For a datagram that cannot be decoded, [onMalformed]
+ * is called and the datagram is dropped.
  */
 internal class PeerSocket(
     private val group: EventLoopGroup,
@@ -38,7 +40,8 @@
             // An unreachable peer is detected by its missing heartbeats.
             override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) = Unit
         }
-        channel = Bootstrap().group(group).channel(NioDatagramChannel::class.java).handler(handler)
+        channel = Bootstrap().group(group).channel(NioDatagramChannel::class.java)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES)).handler(handler)
             .bind(UpstreamConnectionPool.socketAddress(address)).awaitChannel()
     }
 
@@ -64,4 +67,9 @@
             onMalformed()
         }
     }
+
+    private companion object {
+        /** The largest datagram; a smaller receive buffer would cut heartbeats that name many upstreams. */
+        const val MAX_DATAGRAM_BYTES = 64 * 1024
+    }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -76,7 +76,7 @@
     private val record =
         PeerRecord(settings.zone, settings.listen.callers, settings.listen.peers, EntryCapacity.of(settings.limits))
     private val activeSet = ActiveEntries(settings.entry, record, peerTable, ::ownEntry)
-    private val peerSocket = PeerSocket(eventLoopGroup, record.peers, { peers.receive(it) }, onMalformed = {})
+    private val peerSocket = PeerSocket(eventLoopGroup, record.peers, { peers.receive(it) }, metrics::datagramMalformed)
     private val rateLimiting = RateLimiting(
         settings.entry,
         upstreams,
