Keep encoded changes for all versions that peers may have

Cause (found by review): changes from more than four versions at once evicted each other, each question then encoded its change again; an encoding that failed left the others waiting; a slot ended after 400 ms though its receiver waits 500 ms for a piece. Change: 16 encoded changes, least recently used first out; failures reach those that wait; slots last 700 ms. No spec plays the eviction.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/ConfigurationSender.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/ConfigurationSender.kt
@@ -1,7 +1,6 @@
 package io.poplarwood.gateway.configuration
 
 import io.poplarwood.api.time.Ticker
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 
 /**
@@ -57,7 +56,10 @@
     /** The pieces between two versions are made once, however many peers ask for them. */
     private suspend fun encode(from: Configuration?, to: Configuration): EncodedChange {
         val key = (from?.storeVersion ?: 0) to to.storeVersion
-        encoded[key]?.let { return it.await() }
+        encoded.remove(key)?.let { known ->
+            encoded[key] = known
+            return known.await()
+        }
         val result = CompletableDeferred<EncodedChange>()
         encoded[key] = result
         if (encoded.size > MAX_ENCODED_CHANGES) encoded.remove(encoded.keys.first())
@@ -70,9 +72,9 @@
             log.encoded(change.change, change.pieces.sumOf { it.size }, ticker.now() - startedAt)
             result.complete(change)
             return change
-        } catch (e: CancellationException) {
+        } catch (e: Throwable) {
             encoded.remove(key)
-            result.cancel()
+            result.completeExceptionally(e)
             throw e
         }
     }
@@ -94,7 +96,8 @@
     }
 
     private companion object {
-        const val MAX_ENCODED_CHANGES = 4
+        /** The versions of a history, as entries may ask for the change from each of them. */
+        const val MAX_ENCODED_CHANGES = 16
         const val MAX_HOLDERS = 16
         const val MAX_REFERRALS = 3
     }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/TransferSlots.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/TransferSlots.kt
@@ -27,7 +27,8 @@
     }
 
     companion object {
-        private val IDLE_TIMEOUT = 400.milliseconds
+        /** Longer than a receiver waits for a piece. */
+        private val IDLE_TIMEOUT = 700.milliseconds
         private const val MIN_SLOTS = 2
         private const val MAX_SLOTS = 16
         private const val MBPS_PER_SLOT = 5.0
