Bound each reply with registrations, and ask another peer after a failure

Cause (found by review): the changes since a version were one reply of any size, requested again from the same peer for ever when it did not arrive in 500 ms. Change: more than 500 changed rows are sent as pages of all; the peer that failed last is asked after the others. No spec plays it.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerSync.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerSync.kt
@@ -37,11 +37,13 @@
     private var replyBytes = 0L
     private var encodeTime = Duration.ZERO
     private var fetching = false
+    private var failedPeer: String? = null
 
     /** The encoded reply to a peer's query, which [RegistrationQuery] describes. */
     fun reply(text: String): ByteArray {
         val query = RegistrationQuery.parse(text)
-        val changes = if (query.afterKey == null) book.upstreamChanges(query.covered) else null
+        val changes =
+            if (query.afterKey == null) book.upstreamChanges(query.covered)?.takeIf { it.size <= PAGE_ROWS } else null
         val page = changes ?: book.upstreamPage(query.afterKey.orEmpty(), PAGE_ROWS + 1)
         val snapshot = PeerSnapshot(
             rows = (if (changes == null) page.take(PAGE_ROWS) else page).map(ReplicatedRow::of),
@@ -69,9 +71,10 @@
 
     /** Fetches from a peer with newer versions, if there is one; a peer of the own zone is preferred. */
     fun syncIfBehind() {
-        val newerPeers = peers.live.filter { hasNewer(it) }
-        if (fetching || newerPeers.isEmpty()) return
-        val peer = newerPeers.firstOrNull { it.record.zone == zone } ?: newerPeers.first()
+        if (fetching) return
+        val newerPeers = peers.live.filter { hasNewer(it) }.sortedBy { it.record.zone != zone }
+        // A peer that did not send what was requested comes after the others.
+        val peer = newerPeers.firstOrNull { it.name != failedPeer } ?: newerPeers.firstOrNull() ?: return
         fetching = true
         scope.launch {
             try {
@@ -110,6 +113,7 @@
         val startedAt = ticker.now()
         val body = fetch(peer.record.peers, query.encode())
         val page = body?.let(::decode)
+        failedPeer = if (page == null) peer.name else failedPeer.takeIf { it != peer.name }
         val result = if (body == null) {
             "no-reply"
         } else if (page == null) {
