--- a/gateway/src/test/kotlin/io/poplarwood/gateway/configuration/ConfigurationFetcherSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/configuration/ConfigurationFetcherSpec.kt
@@ -100,7 +100,7 @@
             assertNull(fetcher.fetch())
         }
 
-        /** Guards against an entry that requests the same change for ever, since its own version is not what others think. */
+        /** Guards against an entry that requests a change for ever which does not fit its own version. */
         @Test
         fun `requests the whole when a change does not fit the own version`() = runTest {
             val fetcher = fetcher()
