--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedCodec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedCodec.kt
@@ -84,7 +84,7 @@
     fun line(route: Route): String = with(route) {
         """{"host":"$host","name":"$name","prefix":"$prefix","kind":"$kind",""" +
             """"timeout-ms":${timeout.inWholeMilliseconds},"target-latency-ms":${target.inWholeMilliseconds},""" +
-            """"priority":$priority,"max-attempts":$maxAttempts,"service":"${shares.first().service.value}"}"""
+            """"priority":$priority,"attempts-max":$maxAttempts,"service":"${shares.first().service.value}"}"""
     }
 
     private fun route(line: String): Route {
@@ -97,7 +97,7 @@
             timeout = fields.getValue("timeout-ms").toInt().milliseconds,
             target = fields.getValue("target-latency-ms").toInt().milliseconds,
             priority = fields.getValue("priority").toInt(),
-            maxAttempts = fields.getValue("max-attempts").toInt(),
+            maxAttempts = fields.getValue("attempts-max").toInt(),
             shares = persistentListOf(ServiceShare(ServiceName(fields.getValue("service")), 1)),
         )
     }
