End a forwarded request at once when its own body is truncated

The message that ends a truncated body cancels the work of the owner. If the cancellation comes before the owner has noticed the truncated body, the owner replies nothing, and the forwarding entry waits for its whole timeout, 5 s in the spec. The forwarding entry knows of the truncation first, so it ends its own wait now.

--- a/peer/src/main/kotlin/io/poplarwood/peer/forward/OwnerForwarder.kt
+++ b/peer/src/main/kotlin/io/poplarwood/peer/forward/OwnerForwarder.kt
@@ -54,7 +54,7 @@
             outgoing.remove(id)
             return Err(ForwardFailure.NOT_SENT)
         }
-        exchange.job = scope.launch { sendBody(exchange, id, body, ofAnswer = false) }
+        exchange.job = scope.launch { sendBody(exchange, id, body) }
         val answer = try {
             withTimeoutOrNull(timeout) { exchange.replyHead.await() } ?: Err(ForwardFailure.TIMED_OUT)
         } catch (e: CancellationException) {
@@ -119,13 +119,15 @@
         }
     }
 
-    private suspend fun sendBody(exchange: ForwardExchange, id: Long, body: Body, ofAnswer: Boolean) {
+    private suspend fun sendBody(exchange: ForwardExchange, id: Long, body: Body) {
         try {
             exchange.bodySender.send(body)
         } catch (e: CancellationException) {
             throw e
         } catch (e: Exception) {
-            trySend(exchange.address, PeerMessage.ForwardEnd(id, ofAnswer))
+            trySend(exchange.address, PeerMessage.ForwardEnd(id, ofAnswer = false))
+            // The owner may end its work without a reply.
+            exchange.replyHead.complete(Err(ForwardFailure.LOST))
         }
     }
 
--- a/peer/src/test/kotlin/io/poplarwood/peer/OwnerForwarderSpec.kt
+++ b/peer/src/test/kotlin/io/poplarwood/peer/OwnerForwarderSpec.kt
@@ -13,6 +13,8 @@
 import io.poplarwood.peer.message.ForwardHead
 import io.poplarwood.peer.message.ForwardResponseHead
 import io.poplarwood.peer.message.PeerMessage
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.channels.consumeEach
 import kotlinx.coroutines.channels.produce
@@ -72,14 +74,17 @@
         @Test
         fun `never looks complete to its owner when its body is truncated`() = runBlocking {
             // Guards against an upstream that processes a truncated upload as if complete.
+            val ownerIsReading = CompletableDeferred<Unit>()
             val ownerReads = Channel<Result<ByteArray>>(1)
             val a = entry("a")
             val b = entry("b") { body ->
+                ownerIsReading.complete(Unit)
                 ownerReads.send(runCatching { bytes(body) })
                 error("request body truncated")
             }
             val truncated: Body = a.scope.produce {
                 send(ByteArray(10))
+                ownerIsReading.await()
                 throw BodyTruncatedException()
             }
             val failure = forwarders.getValue(a).forward(b.address, head, truncated, 5.seconds).getError()
@@ -87,6 +92,19 @@
             assertTrue(withTimeout(5.seconds) { ownerReads.receive() }.isFailure, "the owner read a complete body")
         }
 
+        @Test
+        fun `is lost at once when its body is truncated and its owner does not reply`() = runBlocking {
+            // Guards against a caller that waits for an owner whose work ended with the body.
+            val a = entry("a")
+            val b = entry("b") { awaitCancellation() }
+            val truncated: Body = a.scope.produce { throw BodyTruncatedException() }
+            val failure = withTimeout(2.seconds) {
+                forwarders.getValue(a).forward(b.address, head, truncated, 5.seconds).getError()
+            }
+            assertEquals(ForwardFailure.LOST, failure)
+            TestEntry.eventually(2.seconds) { forwarders.values.all { it.inFlight == 0 } }
+        }
+
         @Test
         fun `times out when its owner does not reply`() = runBlocking {
             // Guards against a caller that waits forever.
