--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Decisions.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Decisions.kt
@@ -25,10 +25,10 @@
     val retryBudget: RetryBudget,
     val splitPicker: SplitPicker,
     val permits: UpstreamPermits,
+    val crashSuspects: CrashSuspects,
     private val onQueued: () -> Unit,
 ) {
     val suspicion = OutcomeRecorder()
-    val crashSuspects = CrashSuspects()
     val workTimes = ServiceTimeEstimates()
     val secondAttempt = HedgingPolicy(placement)
     private val queues = HashMap<ServiceName, SlotQueue>()
--- /dev/null
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestPath.kt
@@ -0,0 +1,115 @@
+package io.poplarwood.gateway.runtime
+
+import io.poplarwood.api.id.Zone
+import io.poplarwood.gateway.adapter.Adapter
+import io.poplarwood.gateway.decision.Placement
+import io.poplarwood.gateway.decision.ProbeSelector
+import io.poplarwood.gateway.decision.RetryBudget
+import io.poplarwood.gateway.decision.RetryLimits
+import io.poplarwood.gateway.http.BodyMemoryBudget
+import io.poplarwood.gateway.http.CallerListener
+import io.poplarwood.gateway.http.EntryHttpClient
+import io.poplarwood.gateway.http.UpstreamConnectionPool
+import io.poplarwood.gateway.peer.ProbeAssignment
+import io.poplarwood.gateway.route.CallerLimits
+import io.poplarwood.gateway.route.SplitPicker
+import io.poplarwood.gateway.settings.Bounds
+import io.poplarwood.gateway.settings.GatewaySettings
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * The way of requests through one entry: listener, decisions, connections to upstreams, and what is learned from their
+ * answers.
+ *
+ * @param bounds the bounds in force
+ */
+internal class RequestPath(
+    settings: GatewaySettings,
+    adapter: Adapter,
+    runtime: ProcessRuntime,
+    state: EntryState,
+    peers: PeerServices,
+    httpClient: EntryHttpClient,
+    bounds: () -> Bounds,
+) {
+    private val ticker = runtime.ticker
+    private val bodyMemoryBytes = settings.limits.memoryMb * BODY_BYTES_PER_MB
+    private val queueTimer = QueueTimer(runtime.eventLoop, ::dispatchQueued)
+    val splitPicker = SplitPicker(runtime.random::nextDouble)
+    private val decisions = Decisions(
+        state.upstreams,
+        Placement(Zone(settings.zone), runtime.random),
+        RetryBudget(
+            settings.bounds.repeatWindowS.seconds,
+            { bounds().let { RetryLimits(it.repeatRatio, it.repeatSlack) } },
+            { state.peers.budgetSharers(ticker.now()) },
+        ),
+        splitPicker,
+        peers.rateLimiting.permits,
+        state.crashSuspects,
+        queueTimer::start,
+    )
+    val upstreamConnections = UpstreamConnectionPool(
+        runtime.eventLoopGroup,
+        adapter.headerNames,
+        ticker,
+        BodyMemoryBudget(bodyMemoryBytes),
+        runtime.metrics::connectionOpened,
+    )
+    val loadProber = LoadProber(
+        state.upstreams,
+        ProbeSelector { bounds().probesPerS },
+        ProbeAssignment(settings.entry, Zone(settings.zone), state.peers, state.activeEntries),
+        state.replica,
+        peers.loadGossip,
+        httpClient,
+        adapter.headerNames,
+        runtime.metrics,
+        state.availability,
+        ticker,
+    )
+    private val livenessCheck =
+        LivenessCheck(upstreamConnections::tryConnect, state.upstreams, ticker, runtime.scope)
+    private val crashDetector = CrashDetector(
+        state.crashSuspects,
+        livenessCheck,
+        runtime.random,
+        ticker,
+        runtime.scope,
+        peers.gossip.crashGossip::announceLoss,
+    )
+    val requestHandler = RequestHandler(
+        state.replica,
+        decisions,
+        upstreamConnections,
+        peers.loadGossip,
+        ticker,
+        runtime.metrics,
+        AttemptFeedback(decisions, peers.loadGossip, crashDetector, state.availability, runtime.log),
+        ConfigurationAdmission(state.replica.freshness, ticker) { bounds().changeS.seconds },
+        RequestLog(runtime.log, runtime.metrics, ticker),
+        runtime.log,
+    )
+    val callerListener = CallerListener(
+        runtime.eventLoopGroup,
+        settings.listen.callers,
+        runtime.scope,
+        ticker,
+        adapter.headerNames,
+        BodyMemoryBudget(bodyMemoryBytes),
+        { state.replica.state?.limits ?: CallerLimits() },
+        { host, target -> state.replica.routes.find(host, target)?.kind?.retryable ?: false },
+        requestHandler::serve,
+    )
+
+    /** Assigns free slots to queued requests; returns true while any remain queued. */
+    fun dispatchQueued(): Boolean {
+        decisions.dispatchQueued(ticker.now())
+        return decisions.hasQueued
+    }
+
+    private companion object {
+        /** Limit on buffered request bodies, and separately on buffered answers, per megabyte of the VM's memory. */
+        const val BODY_BYTES_PER_MB = 100L * 1024
+    }
+}
