Silence the connection that carries the request in SilentConnectionSpec

Cause: the spec silenced all connections that were open and relied on the next request to use one of them. A caller can have its answer before the client engine has returned the connection to the pool; the next request then opens a new connection, which worked, and got 200 in place of the outcome unknown. The relay also recorded a connection only after it carried bytes, so that one could be missed. Change: the request names a path on which the relay passes it on and silences its connection, whichever that is. The upstream now runs the request and its answer is lost; the spec checks that it arrives once and that the only attempt ended as silent. The relay records a connection before it carries bytes. Conclusion: the product is right, the spec relied on a moment that nothing guarantees. It is as strict as before, and also shows that a request that ran is not sent again.

--- a/entry/src/test/kotlin/io/poplarwood/entry/forward/SilentConnectionSpec.kt
+++ b/entry/src/test/kotlin/io/poplarwood/entry/forward/SilentConnectionSpec.kt
@@ -14,6 +14,7 @@
     private val get = "GET / HTTP/1.1\r\nHost: counter\r\n\r\n"
     private val slowGet = "GET /slow HTTP/1.1\r\nHost: counter\r\n\r\n"
     private val post = "POST / HTTP/1.1\r\nHost: counter\r\nContent-Length: 0\r\n\r\n"
+    private val lostPost = "POST ${BlackholingRelay.LOST_PATH} HTTP/1.1\r\nHost: counter\r\nContent-Length: 0\r\n\r\n"
 
     /** Runs [test] with an upstream that takes 250 ms for `/slow` and answers all other requests at once. */
     private fun behindRelay(test: (ServerFixture, BlackholingRelay, RawUpstream) -> Unit) {
@@ -69,17 +70,14 @@
         /** Guards against retrying a non-idempotent request that may have run on the silent connection. */
         @Test
         fun `gives a non-idempotent request the outcome unknown`() =
-            behindRelay { fixture, relay, upstream ->
-                val caller = fixture.caller()
-                caller.send(post).answer()
-
+            behindRelay { fixture, _, upstream ->
                 val before = upstream.heads.count { it.startsWith("POST") }
-                relay.blackhole()
-                val (answer, elapsedMs) = timedExchange(caller, post)
+                val (answer, elapsedMs) = fixture.caller().use { timedExchange(it, lostPost) }
                 assertEquals("unknown", answer.header("Poplarwood-Outcome"))
                 assertEquals("connection-silent", answer.header("Poplarwood-Reason"))
                 assertTrue(elapsedMs <= 2_000, "took $elapsedMs ms")
-                assertEquals(before, upstream.heads.count { it.startsWith("POST") })
+                assertEquals(AttemptResult.CONNECTION_SILENT, fixture.evidence(21).last().result)
+                assertEquals(before + 1, upstream.heads.count { it.startsWith("POST") })
             }
 
         /** Guards against a non-idempotent request on a connection idle long enough to have been dropped silently. */
--- a/entry/src/test/kotlin/io/poplarwood/entry/support/BlackholingRelay.kt
+++ b/entry/src/test/kotlin/io/poplarwood/entry/support/BlackholingRelay.kt
@@ -6,7 +6,12 @@
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.concurrent.thread
 
-/** Relays connections to an upstream; [blackhole] silences all open connections permanently, while new ones work. */
+/**
+ * Relays connections to an upstream; [blackhole] silences all open connections permanently, while new ones work. A
+ * connection that carries a request for [LOST_PATH] passes it on and is silent from then on, whether it is new or not:
+ * a caller can have its answer before the entry's client has its connection back in the pool, so the next request may
+ * use a new one.
+ */
 internal class BlackholingRelay(private val upstream: String) : AutoCloseable {
     private val listener = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
     private val pairs = CopyOnWriteArrayList<SocketPair>()
@@ -14,7 +19,12 @@
 
     init {
         thread(isDaemon = true) {
-            while (!listener.isClosed) pairs += SocketPair(runCatching { listener.accept() }.getOrNull() ?: break)
+            while (!listener.isClosed) {
+                val pair = SocketPair(runCatching { listener.accept() }.getOrNull() ?: break)
+                // Added before it carries bytes, so that none is missed when connections are silenced.
+                pairs += pair
+                pair.start()
+            }
         }
     }
 
@@ -32,7 +42,7 @@
         @Volatile
         var silent = false
 
-        init {
+        fun start() {
             pump(callerSide, upstreamSide)
             pump(upstreamSide, callerSide)
         }
@@ -49,10 +59,16 @@
                     while (true) {
                         val read = from.getInputStream().read(buffer)
                         if (read < 0) break
-                        if (!silent) to.getOutputStream().write(buffer, 0, read)
+                        val discarded = silent
+                        if (LOST_PATH in String(buffer, 0, read, Charsets.ISO_8859_1)) silent = true
+                        if (!discarded) to.getOutputStream().write(buffer, 0, read)
                     }
                     if (!silent) to.close()
                 }
             }
     }
+
+    companion object {
+        const val LOST_PATH = "/lost"
+    }
 }
