End a gateway that cannot listen at an address

Cause: the exception of the failed bind ended the main thread, but the event loop kept the process, which then neither served nor reacted to SIGTERM. By then the entry had begun to register in the store, with addresses that are another's. Change: the listeners are opened before anything else is started. After any other failure to start everything is closed too, so that the process ends. The time from start to ready was not measured again.

--- a/cli/src/main/kotlin/io/poplarwood/cli/command/GatewayCommand.kt
+++ b/cli/src/main/kotlin/io/poplarwood/cli/command/GatewayCommand.kt
@@ -7,6 +7,7 @@
 import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.types.path
 import io.poplarwood.cli.CommandLine
+import io.poplarwood.daemon.GatewayEnd
 import io.poplarwood.daemon.GatewayRunner
 
 internal class GatewayCommand : CliktCommand("gateway") {
@@ -16,6 +17,10 @@
         "Runs a gateway, an entry with routes and upstreams from the platform's store, until SIGTERM or SIGINT."
 
     override fun run() {
-        if (!GatewayRunner.run(file) { echo(it, err = true) }) throw ProgramResult(CommandLine.BAD_USAGE)
+        when (GatewayRunner.run(file) { echo(it, err = true) }) {
+            GatewayEnd.STOPPED -> Unit
+            GatewayEnd.BAD_SETTINGS -> throw ProgramResult(CommandLine.BAD_USAGE)
+            GatewayEnd.START_FAILED -> throw ProgramResult(CommandLine.FAILED)
+        }
     }
 }
--- a/daemon/src/main/kotlin/io/poplarwood/daemon/GatewayRunner.kt
+++ b/daemon/src/main/kotlin/io/poplarwood/daemon/GatewayRunner.kt
@@ -11,15 +11,15 @@
 object GatewayRunner {
     /**
      * Runs a gateway with the settings in [file] until SIGTERM or SIGINT. If the settings are invalid, passes one line
-     * for each error to [reportError] and returns false.
+     * for each error to [reportError]. A start that fails is logged.
      */
-    fun run(file: Path, reportError: (String) -> Unit): Boolean {
+    fun run(file: Path, reportError: (String) -> Unit): GatewayEnd {
         val settings = GatewaySettingsReader.read(file).getOrElse { errors ->
             errors.forEach { reportError("$file: $it") }
-            return false
+            return GatewayEnd.BAD_SETTINGS
         }
         GatewayLogging.enable()
-        GatewayDaemon(settings, SchemeAdapter, file).run()
-        return true
+        val stopped = GatewayDaemon(settings, SchemeAdapter, file).run()
+        return if (stopped) GatewayEnd.STOPPED else GatewayEnd.START_FAILED
     }
 }
--- a/daemon/src/main/kotlin/io/poplarwood/daemon/Main.kt
+++ b/daemon/src/main/kotlin/io/poplarwood/daemon/Main.kt
@@ -18,8 +18,12 @@
         System.err.println(USAGE)
         exitProcess(EXIT_BAD_USAGE)
     }
-    if (!GatewayRunner.run(Path.of(file)) { System.err.println(it) }) exitProcess(EXIT_BAD_USAGE)
-    exitProcess(0)
+    val status = when (GatewayRunner.run(Path.of(file)) { System.err.println(it) }) {
+        GatewayEnd.STOPPED -> 0
+        GatewayEnd.BAD_SETTINGS -> EXIT_BAD_USAGE
+        GatewayEnd.START_FAILED -> EXIT_FAILED
+    }
+    exitProcess(status)
 }
 
 private fun settingsFile(args: List<String>): String? = when {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/CallerListener.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/CallerListener.kt
@@ -43,7 +43,7 @@
     /** Number of open connections. */
     val connectionCount: Int get() = connections.size
 
-    /** Binds [address]; throws if that fails. */
+    /** Binds [address]; throws [ListenFailedException] if that fails. */
     suspend fun start() {
         val initializer = object : ChannelInitializer<Channel>() {
             override fun initChannel(ch: Channel) {
@@ -60,7 +60,7 @@
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(initializer)
-            .bind(UpstreamConnectionPool.socketAddress(address)).awaitChannel()
+            .bindTo(address)
     }
 
     /** Closes connections idle for longer than [IDLE_THRESHOLD]; on the others a request may be in transit. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/InternalListener.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/InternalListener.kt
@@ -34,7 +34,7 @@
     private val scope: CoroutineScope,
     private val respond: suspend (target: String) -> InternalReply,
 ) {
-    /** Binds [address]; throws if that fails. */
+    /** Binds [address]; throws [ListenFailedException] if that fails. */
     suspend fun start() {
         val initializer = object : ChannelInitializer<Channel>() {
             override fun initChannel(ch: Channel) {
@@ -45,7 +45,7 @@
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(initializer)
-            .bind(UpstreamConnectionPool.socketAddress(address)).awaitChannel()
+            .bindTo(address)
     }
 
     private inner class RequestHandler : SimpleChannelInboundHandler<FullHttpRequest>() {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
@@ -24,6 +24,7 @@
     STOPPED(6005, Level.INFO, "a planned stop ended", "inFlight", "tookMs"),
     RELOADED(6006, Level.INFO, "changed settings were applied", "bounds", "restartNeeded"),
     RELOAD_FAILED(6008, Level.WARN, "changed settings are invalid; the previous settings stay in effect", "faults"),
+    START_FAILED(6009, Level.ERROR, "the process cannot listen at an address and ends", "address", "error"),
     FAILED(6007, Level.ERROR, "a component of the process failed and was restarted", "part", "error"),
     STORE_LOST(6101, Level.WARN, "the store is unavailable", "topic", "error", "knownVersion"),
     STORE_BACK(6102, Level.INFO, "the store is available again", "topic", "awayMs"),
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerSocket.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerSocket.kt
@@ -11,7 +11,7 @@
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
 import io.poplarwood.gateway.http.UpstreamConnectionPool
-import io.poplarwood.gateway.http.awaitChannel
+import io.poplarwood.gateway.http.bindTo
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 import java.net.InetSocketAddress
@@ -33,6 +33,7 @@
     private val addresses = HashMap<String, InetSocketAddress>()
     private var channel: Channel? = null
 
+    /** Binds [address]; throws [io.poplarwood.gateway.http.ListenFailedException] if that fails. */
     suspend fun start() {
         val handler = object : SimpleChannelInboundHandler<DatagramPacket>() {
             override fun channelRead0(ctx: ChannelHandlerContext, msg: DatagramPacket) = decode(msg)
@@ -42,7 +43,7 @@
         }
         channel = Bootstrap().group(group).channel(NioDatagramChannel::class.java)
             .option(ChannelOption.RECVBUF_ALLOCATOR, FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES)).handler(handler)
-            .bind(UpstreamConnectionPool.socketAddress(address)).awaitChannel()
+            .bindTo(address)
     }
 
     /** Sends [message] to each of [peers], given as `ip:port`; does nothing before [start] has returned. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayDaemon.kt
@@ -4,6 +4,7 @@
 import io.poplarwood.api.random.SplitMix
 import io.poplarwood.api.time.Ticker
 import io.poplarwood.gateway.adapter.Adapter
+import io.poplarwood.gateway.http.ListenFailedException
 import io.poplarwood.gateway.log.GatewayLogging
 import io.poplarwood.gateway.settings.GatewaySettings
 import io.poplarwood.gateway.settings.GatewaySettingsReader
@@ -29,8 +30,8 @@
     private val commands = LinkedBlockingQueue<Command>()
     private var currentSettings = settings
 
-    /** Runs the gateway; returns after a planned stop. */
-    fun run() {
+    /** Runs the gateway; returns true after a planned stop, and false at once if an address cannot be listened at. */
+    fun run(): Boolean {
         // Keeps Netty from scanning the network interfaces for a hardware address to build channel ids.
         System.setProperty("io.netty.machineId", "00:00:00:00:00:01")
         // Flight Recorder events of Netty's buffers are not used, and defining them slows the start noticeably.
@@ -42,11 +43,22 @@
         val random = SplitMix(System.nanoTime() xor settings.entry.hashCode().toLong())
         val sinceStart = { ticker.now() - startedAt }
         val process = GatewayProcess(settings, adapter, ticker, random, sinceStart)
+        // Without this the event loop would keep a process alive whose start failed.
+        return try {
+            runUntilStopped(process)
+            true
+        } catch (e: ListenFailedException) {
+            false
+        } finally {
+            GatewayLogging.flushAndStop()
+            process.close()
+        }
+    }
+
+    private fun runUntilStopped(process: GatewayProcess) {
         runBlocking { process.start() }
         while (commands.poll(SETTINGS_CHECK_INTERVAL_S, TimeUnit.SECONDS) != Command.STOP) reload(process)
         runBlocking { process.stop() }
-        GatewayLogging.flushAndStop()
-        process.close()
     }
 
     private fun reload(process: GatewayProcess) = GatewaySettingsReader.read(settingsFile).fold(
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -8,6 +8,7 @@
 import io.poplarwood.gateway.http.EntryHttpClient
 import io.poplarwood.gateway.http.InternalListener
 import io.poplarwood.gateway.http.InternalReply
+import io.poplarwood.gateway.http.ListenFailedException
 import io.poplarwood.gateway.log.GatewayEvent
 import io.poplarwood.gateway.route.RouteProblemReporter
 import io.poplarwood.gateway.settings.GatewaySettings
@@ -67,16 +68,26 @@
     private val serving: Boolean
         get() = state.replica.state != null && state.upstreams.all.isNotEmpty() && !stopping
 
-    /** Opens the listeners and starts to follow the store and the peers. */
+    /**
+     * Opens the listeners and starts to follow the store and the peers. The listeners come first: an entry that cannot
+     * listen must not register.
+     *
+     * @throws ListenFailedException if an address cannot be used; it has been logged
+     */
     suspend fun start() = withContext(runtime.scope.coroutineContext) {
         requests.requestHandler.onFirstAnswer = {
             log.log(GatewayEvent.FIRST_ANSWER, sinceStart().inWholeMilliseconds)
         }
+        runtime.metrics.configuration = ConfigurationStatusSource(state.replica, ticker)::status
+        try {
+            openListeners()
+        } catch (e: ListenFailedException) {
+            log.log(GatewayEvent.START_FAILED, e.address, e.cause?.message)
+            throw e
+        }
         runtime.supervise("state") { followTopic(Topic.DESIRED_STATE) }
         runtime.supervise("upstreams") { followTopic(Topic.UPSTREAMS) }
         runtime.supervise("entries") { peers.registration.registerAndReadPeers() }
-        runtime.metrics.configuration = ConfigurationStatusSource(state.replica, ticker)::status
-        openListeners()
         runtime.supervise("look") { runPeriodicTasks() }
         runtime.supervise("probes") { runProbes() }
         val startedMs = sinceStart().inWholeMilliseconds
