Record answers in the load model of upstreams that reject requests

The load model of upstreams that reject requests recorded what was rejected but never an answer. The failure rate of an upstream that had rejected a few requests therefore stayed at 0.5 to the end of the run: its expected latency stayed two and a half times the service time, and the queue took the service for overloaded and refused requests on arrival. The gateway records each answer (AttemptFeedback), so the rate falls within a few requests there.

The model now records answers as the gateway does.

--- a/gateway/src/test/kotlin/io/poplarwood/gateway/load/SharedUpstreams.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/load/SharedUpstreams.kt
@@ -77,6 +77,7 @@
         model.run(index) {
             val ratio = (model.nowMs - startedMs) / WORK_MS
             entry.placement.concurrencyModel.record(SERVICE, maxOf(heldAtStart, row.inFlight), SLOTS, ratio)
+            suspicion.recordSuccess(row, model.time)
             finish(entry, row)
             if (model.nowMs - arrivedMs <= TARGET_MS) inTime++
         }
