--- a/gateway/src/test/kotlin/io/poplarwood/gateway/load/ModelEntry.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/load/ModelEntry.kt
@@ -6,6 +6,7 @@
 import io.poplarwood.gateway.decision.Placement
 import io.poplarwood.gateway.decision.SlotQueue
 import io.poplarwood.gateway.support.upstream
+import io.poplarwood.gateway.upstream.IncarnationId
 import io.poplarwood.gateway.upstream.UpstreamTable
 import kotlin.time.Duration
 
@@ -23,6 +24,9 @@
     /** By upstream: requests that this entry sent within that time. */
     val earlyRequests = HashMap<String, Int>()
 
+    /** By incarnation: when this entry passed on the first answer with the leaving mark. */
+    val markedAt = HashMap<IncarnationId, Duration>()
+
     /** Upstreams whose number of requests in flight is about to be sent to the other entries. */
     val pendingUpdates = HashSet<String>()
 }
