Keep the pause of an upstream whose registration is removed and returns

An upstream asked for no requests for some seconds, and its registration was removed and written again meanwhile: the table made a new row, without the pause, and requests reached the upstream before its time. The leaving mark and the rate limit of a removed upstream were kept already.

RemovedUpstreams now keeps limits and pauses. A pause holds for the same incarnation at the same address only. The new check of AvailabilitySpec failed before (state READY in place of DEFERRED) and passes.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/Availability.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/Availability.kt
@@ -20,7 +20,10 @@
     var failures: Int = 0
         private set
     private var ejectedUntil = -Duration.INFINITE
-    private var deferredUntil = -Duration.INFINITE
+
+    /** End of the time for which the upstream asked for no requests; in the past if it does not ask for that now. */
+    var deferredUntil = -Duration.INFINITE
+        private set
     private var conflictUntil = -Duration.INFINITE
 
     private var warmupUntil = -Duration.INFINITE
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/UpstreamTable.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/UpstreamTable.kt
@@ -9,7 +9,7 @@
     private val rows = LinkedHashMap<String, UpstreamRow>()
     private val services = HashMap<ServiceName, MutableList<UpstreamRow>>()
     private val draining = DrainingIncarnations()
-    private val limitsOfRemoved = LinkedHashMap<IncarnationId, UpstreamLimit>()
+    private val removed = RemovedUpstreams()
 
     val all: Collection<UpstreamRow> get() = rows.values
 
@@ -28,7 +28,7 @@
         }
         if (previous != null) remove(record.id)
         val row = UpstreamRow(record, now)
-        limitsOfRemoved.remove(row.incarnation)?.let { row.limit = it }
+        removed.restore(row, now)
         if (draining.contains(record.id, record.startMs, now)) row.availability.apply(AvailabilityInput.Draining, now)
         rows[record.id] = row
         services.getOrPut(record.service) { ArrayList() } += row
@@ -48,24 +48,13 @@
     fun remove(id: String): UpstreamRow? {
         val row = rows.remove(id) ?: return null
         services[row.record.service]?.remove(row)
-        rememberLimit(row)
+        removed.add(row)
         return row
     }
 
-    /** Keeps the limit of a removed upstream, since its registration may have lapsed although it runs. */
-    private fun rememberLimit(row: UpstreamRow) {
-        if (row.limit.perSecond == null) return
-        limitsOfRemoved[row.incarnation] = row.limit
-        if (limitsOfRemoved.size > MAX_REMOVED_LIMITS) limitsOfRemoved.remove(limitsOfRemoved.keys.first())
-    }
-
     /** Discards the in-flight counts reported by [entry]. */
     fun clearInFlightOf(entry: EntryId) = rows.values.forEach { it.setInFlightOf(entry, 0) }
 
     private fun Upstream.isSameIncarnation(other: Upstream) =
         startMs == other.startMs && address == other.address && service == other.service
-
-    private companion object {
-        const val MAX_REMOVED_LIMITS = 2_000
-    }
 }
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/upstream/AvailabilitySpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/upstream/AvailabilitySpec.kt
@@ -87,6 +87,36 @@
         }
     }
 
+    @Nested
+    inner class `a paused upstream whose registration is removed` {
+        private val table = UpstreamTable()
+
+        private fun stateAfterReturn(next: Upstream): AvailabilityState? {
+            table.put(upstream("u1", born = 1), start)
+            table["u1"]?.availability?.apply(AvailabilityInput.PauseRequested(5.seconds), start)
+            table.remove("u1")
+            table.put(next, start + 1.seconds)
+            return table["u1"]?.availability?.state(start + 4.seconds)
+        }
+
+        /** Guards against requests within the pause of an upstream whose registration lapsed although it runs. */
+        @Test
+        fun `is still paused when it is registered again`() {
+            assertEquals(AvailabilityState.DEFERRED, stateAfterReturn(upstream("u1", born = 1)))
+            assertEquals(AvailabilityState.RETURNING, table["u1"]?.availability?.state(start + 5_100.milliseconds))
+        }
+
+        /** Guards against withholding work from an upstream for what its previous incarnation asked. */
+        @Test
+        fun `is not paused in its next incarnation, or at another address`() {
+            assertEquals(AvailabilityState.READY, stateAfterReturn(upstream("u1", born = 2)))
+            assertEquals(
+                AvailabilityState.READY,
+                stateAfterReturn(upstream("u1", born = 1).copy(address = "10.0.0.9:1")),
+            )
+        }
+    }
+
     @Nested
     inner class `an upstream that does not answer` {
         @Test
