Take Retry-After values with a type suffix for unreadable

Kotlin reads "5d" and "0x1p6" as numbers, so such a Retry-After counted as 5 and 64 seconds in place of the one second of values that are no decimal numbers. The check in AvailabilitySpec failed before (5 s in place of 1 s) and passes. New cases that passed before: empty, negative fractions, negative and endless values, several values of which some cannot be read.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/UpstreamNotice.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/UpstreamNotice.kt
@@ -19,6 +19,9 @@
         private const val SERVICE_UNAVAILABLE = 503
         private const val LEAVING_MARK = "1"
 
+        /** Excludes hexadecimal numbers and the type suffixes `d` and `f`, which Kotlin would accept. */
+        private val NUMBER = Regex("""[+-]?(\d+\.?\d*|\.\d+)([eE][+-]?\d+)?|[+-]?Infinity""")
+
         /** Assumed for a Retry-After value that is not a number. */
         private val UNREADABLE_RETRY_AFTER = 1.seconds
 
@@ -42,7 +45,8 @@
         }
 
         private fun parseRetryAfter(text: String): Duration? {
-            val seconds = text.toDoubleOrNull()?.takeUnless { it.isNaN() } ?: return UNREADABLE_RETRY_AFTER
+            if (!NUMBER.matches(text)) return UNREADABLE_RETRY_AFTER
+            val seconds = text.toDouble()
             return seconds.takeIf { it > 0 }?.seconds
         }
     }
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/upstream/AvailabilitySpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/upstream/AvailabilitySpec.kt
@@ -154,13 +154,18 @@
             assertEquals(1.5.seconds, pauseOf("1.5"))
             assertEquals(3.seconds, pauseOf("1", "3"))
             assertEquals(3.seconds, pauseOf("3, 2"))
+            assertEquals(3.seconds, pauseOf("soon", "-1", "3"))
+            assertEquals(500.milliseconds, pauseOf(" .5 "))
             assertEquals(Duration.INFINITE, pauseOf("1e400"))
+            assertEquals(Duration.INFINITE, pauseOf("Infinity"))
         }
 
         @Test
         fun `give no pause if Retry-After is absent, not positive, or not on a 503`() {
             assertNull(pauseOf())
             assertNull(pauseOf("-1"))
+            assertNull(pauseOf("-0.5, -2"))
+            assertNull(pauseOf("-1e400"))
             assertNull(pauseOf("0"))
             assertNull(pauseOf("2", status = 200))
         }
@@ -168,7 +173,10 @@
         @Test
         fun `give a pause of one second if Retry-After is not a number`() {
             assertEquals(1.seconds, pauseOf("soon"))
+            assertEquals(1.seconds, pauseOf(""))
             assertEquals(1.seconds, pauseOf("NaN"))
+            assertEquals(1.seconds, pauseOf("5d"))
+            assertEquals(1.seconds, pauseOf("0x1p6"))
             assertEquals(1.seconds, pauseOf("Fri, 04 Dec 2026 12:00:00 GMT"))
         }
 
