Tell refused callers when the usable upstreams have room

The time to come back of a refusal took the requests in flight and the slots of all upstreams of the service, those that drain or asked for a pause too. With most of them away callers came back long before there was room. Only usable upstreams count now. The check in SlotQueueSpec, one slot in use beside nine of a paused upstream, failed before (20 ms, at least 60 expected) and passes.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/SlotQueue.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/SlotQueue.kt
@@ -51,9 +51,9 @@
             waiting.isEmpty() && tryDecide(request, rows, now) -> Unit
             isOverloaded(request, now) &&
                 now + delayAtGrantRate(request, now) + saturatedTime(request, rows) > request.targetTime ->
-                request.onDecision(SlotDecision.Overloaded(drainTime(request, rows)))
+                request.onDecision(SlotDecision.Overloaded(drainTime(request, rows, now)))
             now + delayAtCapacity(request, rows, now) + request.job.serviceTime > request.deadline ->
-                request.onDecision(SlotDecision.Overloaded(drainTime(request, rows)))
+                request.onDecision(SlotDecision.Overloaded(drainTime(request, rows, now)))
             else -> {
                 waiting += request
                 if (waiting.size > 1) dispatch(now)
@@ -94,7 +94,7 @@
 
     private fun refuseIfLate(request: SlotRequest, rows: List<UpstreamRow>, now: Duration): Boolean {
         if (now + saturatedTime(request, rows) <= request.targetTime) return false
-        request.onDecision(SlotDecision.Overloaded(drainTime(request, rows)))
+        request.onDecision(SlotDecision.Overloaded(drainTime(request, rows, now)))
         return true
     }
 
@@ -179,7 +179,7 @@
             return true
         }
         if (!request.hasWaitedTooLong(now)) return false
-        request.onDecision(SlotDecision.Overloaded(drainTime(request, rows)))
+        request.onDecision(SlotDecision.Overloaded(drainTime(request, rows, now)))
         return true
     }
 
@@ -214,10 +214,11 @@
     private fun capacity(request: SlotRequest, rows: List<UpstreamRow>, now: Duration): Int =
         placement.capacity(rows.filter { permits.maySend(it, request.priority, now) }, now)
 
-    /** Time until the requests that are now in flight or queued have been served. */
-    private fun drainTime(request: SlotRequest, rows: List<UpstreamRow>): Duration {
-        val slots = rows.sumOf { it.record.slots }.coerceAtLeast(1)
-        val load = rows.sumOf { it.inFlight } + waiting.size
+    /** Time until the usable upstreams have served the requests that are now in flight there or queued. */
+    private fun drainTime(request: SlotRequest, rows: List<UpstreamRow>, now: Duration): Duration {
+        val usable = rows.filter { placement.isUsable(it, now) }
+        val slots = usable.sumOf { it.record.slots }.coerceAtLeast(1)
+        val load = usable.sumOf { it.inFlight } + waiting.size
         return (request.job.serviceTime * (load.toDouble() / slots)).coerceIn(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
     }
 
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/decision/SlotQueueSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/decision/SlotQueueSpec.kt
@@ -5,6 +5,7 @@
 import io.poplarwood.gateway.support.SERVICE
 import io.poplarwood.gateway.support.job
 import io.poplarwood.gateway.support.upstream
+import io.poplarwood.gateway.upstream.AvailabilityInput
 import io.poplarwood.gateway.upstream.UpstreamTable
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
@@ -61,6 +62,21 @@
         }
     }
 
+    @Nested
+    inner class `a refused request` {
+        /** Guards against callers that return before there is room, because most upstreams accept nothing. */
+        @Test
+        fun `is told when the upstreams that accept requests have served theirs`() {
+            addOneSlot()
+            upstreams.put(upstream("u2", slots = 9), Duration.ZERO)
+            upstreams["u2"]?.availability?.apply(AvailabilityInput.PauseRequested(60.seconds), start)
+            queue.offer(request("running"), start)
+            queue.offer(request("refused", deadlineMs = 50), start)
+            val refusal = assertIs<SlotDecision.Overloaded>(decisions["refused"])
+            assertTrue(refusal.retryAfter >= job().serviceTime, "${refusal.retryAfter}")
+        }
+    }
+
     @Nested
     inner class `a slot that becomes free` {
         /** Guards against urgent requests that wait behind less urgent ones. */
