Record an attempt's result before its slot is granted again

When an attempt ended, its slot was released first, which grants it to a queued request, and the result was recorded afterwards. A queued request thus went to the upstream that had just asked for a pause, said that it leaves, rejected a request or broke the connection: it reached a draining upstream, or lost one of its attempts there.

The result is recorded first. QueuedRequestsSpec, with two upstreams of one slot and a queued request: 2 requests reached the upstream that asked for a pause, and the draining one, before; 1 and 1 after. The concurrency of an attempt still includes itself (AttemptFeedback), since its slot is now counted until later.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/AttemptFeedback.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/AttemptFeedback.kt
@@ -107,7 +107,7 @@
         val ratio = took / slowness.coerceAtLeast(1.0) / decisions.workTimes.mean(route)
         decisions.workTimes.record(route, took, slowness)
         val row = attempt.row
-        val concurrency = maxOf(attempt.inFlightAtStart, row.inFlight + 1)
+        val concurrency = maxOf(attempt.inFlightAtStart, row.inFlight)
         decisions.placement.concurrencyModel.record(row.record.service, concurrency, row.record.slots, ratio)
     }
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
@@ -232,14 +232,15 @@
                 val outbound = UpstreamRequest(request, deadline - now, row.id)
                 val maxIdle = if (route.kind.retryable) MAX_LINK_IDLE_IDEMPOTENT else MAX_LINK_IDLE
                 attempt.result = handler.upstreamLinks.exchange(row.record.address, outbound, maxIdle)
+                attempt.endedAt = ticker.now()
+                if (attempt.result is AttemptResult.Lost) updateLossWindow(attempt, ticker.now())
+                // Before the slot is granted to a queued request: the upstream may have become unusable.
+                handler.attemptFeedback.record(attempt, route, request.fingerprint)
             } finally {
                 runningAttempts -= attempt
                 releaseSlot(row)
                 if (attempt.result == null && !answered) recordAbandoned(attempt)
             }
-            attempt.endedAt = ticker.now()
-            if (attempt.result is AttemptResult.Lost) updateLossWindow(attempt, ticker.now())
-            handler.attemptFeedback.record(attempt, route, request.fingerprint)
             finishedAttempts.addLast(attempt)
             wakeUp.trySend(Unit)
         }
