--- a/gateway/src/test/kotlin/io/poplarwood/gateway/decision/PlacementSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/decision/PlacementSpec.kt
@@ -5,6 +5,7 @@
 import io.poplarwood.api.random.SplitMix
 import io.poplarwood.gateway.support.job
 import io.poplarwood.gateway.support.upstream
+import io.poplarwood.gateway.upstream.AvailabilityInput
 import io.poplarwood.gateway.upstream.UpstreamRow
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
@@ -90,6 +91,15 @@
             repeat(20) { assertEquals("u1", choose()?.id) }
         }
 
+        /** Guards against second attempts and retries at an upstream that announced that it wants none. */
+        @Test
+        fun `that announced draining or asked for a pause receives no attempts`() {
+            rows[1].availability.apply(AvailabilityInput.Draining, now)
+            rows.drop(2).forEach { it.availability.apply(AvailabilityInput.PauseRequested(2.seconds), now) }
+            repeat(20) { assertEquals("u1", choose()?.id) }
+            assertNull(placement.selectUpstream(rows, job(), setOf("u1"), now))
+        }
+
         @Test
         fun `that was ejected receives one request when the ejection ends`() {
             val suspicion = OutcomeRecorder()
