--- a/gateway/src/test/kotlin/io/poplarwood/gateway/upstream/AvailabilitySpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/upstream/AvailabilitySpec.kt
@@ -87,6 +87,36 @@
         }
     }
 
+    @Nested
+    inner class `a paused upstream whose registration is removed` {
+        private val table = UpstreamTable()
+
+        private fun stateAfterReturn(next: Upstream): AvailabilityState? {
+            table.put(upstream("u1", born = 1), start)
+            table["u1"]?.availability?.apply(AvailabilityInput.PauseRequested(5.seconds), start)
+            table.remove("u1")
+            table.put(next, start + 1.seconds)
+            return table["u1"]?.availability?.state(start + 4.seconds)
+        }
+
+        /** Guards against requests within the pause of an upstream whose registration lapsed although it runs. */
+        @Test
+        fun `is still paused when it is registered again`() {
+            assertEquals(AvailabilityState.DEFERRED, stateAfterReturn(upstream("u1", born = 1)))
+            assertEquals(AvailabilityState.RETURNING, table["u1"]?.availability?.state(start + 5_100.milliseconds))
+        }
+
+        /** Guards against withholding work from an upstream for what its previous incarnation asked. */
+        @Test
+        fun `is not paused in its next incarnation, or at another address`() {
+            assertEquals(AvailabilityState.READY, stateAfterReturn(upstream("u1", born = 2)))
+            assertEquals(
+                AvailabilityState.READY,
+                stateAfterReturn(upstream("u1", born = 1).copy(address = "10.0.0.9:1")),
+            )
+        }
+    }
+
     @Nested
     inner class `an upstream that does not answer` {
         @Test
@@ -124,13 +154,18 @@
             assertEquals(1.5.seconds, pauseOf("1.5"))
             assertEquals(3.seconds, pauseOf("1", "3"))
             assertEquals(3.seconds, pauseOf("3, 2"))
+            assertEquals(3.seconds, pauseOf("soon", "-1", "3"))
+            assertEquals(500.milliseconds, pauseOf(" .5 "))
             assertEquals(Duration.INFINITE, pauseOf("1e400"))
+            assertEquals(Duration.INFINITE, pauseOf("Infinity"))
         }
 
         @Test
         fun `give no pause if Retry-After is absent, not positive, or not on a 503`() {
             assertNull(pauseOf())
             assertNull(pauseOf("-1"))
+            assertNull(pauseOf("-0.5, -2"))
+            assertNull(pauseOf("-1e400"))
             assertNull(pauseOf("0"))
             assertNull(pauseOf("2", status = 200))
         }
@@ -138,7 +173,10 @@
         @Test
         fun `give a pause of one second if Retry-After is not a number`() {
             assertEquals(1.seconds, pauseOf("soon"))
+            assertEquals(1.seconds, pauseOf(""))
             assertEquals(1.seconds, pauseOf("NaN"))
+            assertEquals(1.seconds, pauseOf("5d"))
+            assertEquals(1.seconds, pauseOf("0x1p6"))
             assertEquals(1.seconds, pauseOf("Fri, 04 Dec 2026 12:00:00 GMT"))
         }
 
