Bound the receivers of registrations by the sender's link

Cause: an entry that lacked registrations asked the first peer by name that had them, as all others did, and a page that took over 500 ms was lost. With a narrow link at that peer, 34 entries that started again while the store was away requested the first page again and again.

Change: registrations travel as configurations do. A receiver selects its peers as for configurations (TransferSources, NewerPeers) and takes the missing page from another peer. Both are one piece of code for configurations and registrations. A slot is held until the last message has left; it was free as soon as that message was handed over, so receivers of a single message were not bounded. Pages are read in the order of a sorted map, not sorted anew for each query.

During an upgrade, entries of the old and the new code do not exchange registrations by request; each reads the store.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/ConfigurationFetcher.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/ConfigurationFetcher.kt
@@ -3,7 +3,6 @@
 import io.poplarwood.api.random.RandomSource
 import io.poplarwood.api.time.Ticker
 import kotlinx.coroutines.delay
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -11,24 +10,18 @@
  * another peer; the pieces that have arrived are kept.
  *
  * @param ask sends a query to the peer at an address; null when it does not reply in time
- * @param holders addresses of peers that are known to have a newer desired state than the given store version, those to
- *   ask first at the front
+ * @param sources peers with a newer desired state
  */
 internal class ConfigurationFetcher(
     private val self: String,
     private val ask: suspend (address: String, query: TransferQuery) -> TransferReply?,
-    private val holders: (storeVersion: Long) -> List<String>,
+    private val sources: TransferSources,
     private val history: ConfigurationHistory,
     private val background: BackgroundWork,
     private val random: RandomSource,
     private val ticker: Ticker,
     private val log: TransferLog,
 ) {
-    private val avoidUntil = HashMap<String, Duration>()
-
-    /** Addresses that busy peers named, to be asked before others. */
-    private val referred = ArrayDeque<String>()
-
     /**
      * Fetches the newest desired state that a peer offers; null when none has a newer one, or when a newer one than the
      * own arrived on another way meanwhile.
@@ -37,9 +30,9 @@
         val known = history.newest
         val knownVersion = known?.storeVersion ?: 0
         var base = known
-        referred.clear()
+        sources.clearReferrals()
         while ((history.newest?.storeVersion ?: 0) == knownVersion) {
-            val peer = nextPeer(knownVersion) ?: return null
+            val peer = sources.next(knownVersion) ?: return null
             when (val reply = query(peer, TransferQuery(self, base?.storeVersion ?: 0, 0, 0))) {
                 is TransferReply.Piece -> {
                     complete(peer, reply, base)?.let { return it }
@@ -48,10 +41,9 @@
                     delay(BUSY_PAUSE)
                 }
                 is TransferReply.Busy -> {
-                    referred.addAll(reply.holders.filter { it != self && it !in referred && it !in avoidUntil })
-                    if (referred.isEmpty()) delay(BUSY_PAUSE * (MIN_JITTER + random.nextDouble()))
+                    if (!sources.refer(reply.holders)) delay(BUSY_PAUSE * (MIN_JITTER + random.nextDouble()))
                 }
-                TransferReply.Nothing -> avoid(peer, NOTHING_PAUSE)
+                TransferReply.Nothing -> sources.avoid(peer, NOTHING_PAUSE)
                 null -> Unit
             }
         }
@@ -77,15 +69,15 @@
                     arrivedAt = ticker.now()
                     continue
                 }
-                avoid(source, FAILURE_PAUSE)
+                sources.avoid(source, FAILURE_PAUSE)
             }
-            source = nextPeer(first.to - 1)
+            source = sources.next(first.to - 1)
         }
         val change = background.compute { ChangePieces.join(pieces, first.from, first.to, first.digest) }
         val result = change?.let { background.compute { it.applyTo(known?.state) } }
         if (result == null) {
             log.failed(peer, "unreadable", ticker.now() - startedAt)
-            avoid(peer, FAILURE_PAUSE)
+            sources.avoid(peer, FAILURE_PAUSE)
             return null
         }
         log.received(source ?: peer, change, pieces.sumOf { it.size }, ticker.now() - startedAt)
@@ -101,25 +93,11 @@
         val reply = ask(peer, query)
         if (reply == null) {
             log.failed(peer, "no reply", ticker.now() - startedAt)
-            avoid(peer, FAILURE_PAUSE)
+            sources.avoid(peer, FAILURE_PAUSE)
         }
         return reply
     }
 
-    private fun avoid(peer: String, pause: Duration) {
-        avoidUntil[peer] = ticker.now() + pause
-    }
-
-    private fun nextPeer(storeVersion: Long): String? {
-        val now = ticker.now()
-        avoidUntil.values.removeIf { it <= now }
-        while (true) {
-            val peer = referred.removeFirstOrNull() ?: break
-            if (peer !in avoidUntil) return peer
-        }
-        return holders(storeVersion).firstOrNull { it !in avoidUntil }
-    }
-
     private companion object {
         /** A peer that did not reply is asked again after this time at the earliest. */
         val FAILURE_PAUSE = 300.milliseconds
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/TransferSlots.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/TransferSlots.kt
@@ -2,6 +2,7 @@
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Bounds the number of entries that receive a configuration change from this entry at the same time. Entries that take
@@ -10,20 +11,28 @@
  * @param slots number of entries served at the same time, at least 2
  */
 internal class TransferSlots(private val slots: Int) {
-    private val lastServed = HashMap<String, Duration>()
+    private val heldUntil = HashMap<String, Duration>()
 
-    /** Whether [receiver] may be served now; if so, it holds a slot until [release], or until it stops asking. */
+    /** Whether [receiver] may be served now; if so, it holds a slot until its transfer ends, or it stops asking. */
     fun admit(receiver: String, takesCallers: Boolean, now: Duration): Boolean {
-        lastServed.values.removeIf { now - it > IDLE_TIMEOUT }
+        heldUntil.values.removeIf { it < now }
         val limit = if (takesCallers) slots else maxOf(1, slots / 2)
-        if (receiver !in lastServed && lastServed.size >= limit) return false
-        lastServed[receiver] = now
+        if (receiver !in heldUntil && heldUntil.size >= limit) return false
+        heldUntil[receiver] = now + IDLE_TIMEOUT
         return true
     }
 
-    /** Ends the transfer to [receiver]. */
+    /** Ends the transfer to [receiver] without a further message. */
     fun release(receiver: String) {
-        lastServed.remove(receiver)
+        heldUntil.remove(receiver)
+    }
+
+    /**
+     * Ends the transfer to [receiver] with a message of [bytes]. The slot is free when the message has left, since
+     * otherwise the receivers of one message each would not be bounded.
+     */
+    fun finished(receiver: String, bytes: Int, now: Duration) {
+        heldUntil[receiver] = now + (bytes * BITS / (MBPS_PER_SLOT * BITS_PER_MEGABIT)).seconds
     }
 
     companion object {
@@ -32,6 +41,8 @@
         private const val MIN_SLOTS = 2
         private const val MAX_SLOTS = 16
         private const val MBPS_PER_SLOT = 5.0
+        private const val BITS = 8
+        private const val BITS_PER_MEGABIT = 1_000_000
 
         /** Number of slots that a link of [linkMbps] megabits per second bears beside callers' requests. */
         fun forLink(linkMbps: Double): Int = (linkMbps / MBPS_PER_SLOT).toInt().coerceIn(MIN_SLOTS, MAX_SLOTS)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
@@ -53,6 +53,7 @@
         "replies",
         "bytes",
         "encodeMs",
+        "busy",
     ),
     STATE_FETCHED(
         6107,
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/ConfigurationSync.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/ConfigurationSync.kt
@@ -8,7 +8,7 @@
 /** Fetches the desired state with [fetcher] whenever a peer announces a newer one than this entry has. */
 internal class ConfigurationSync(
     private val fetcher: ConfigurationFetcher,
-    private val holders: ConfigurationHolders,
+    private val holders: NewerPeers,
     private val book: StateReplica,
     private val scope: CoroutineScope,
 ) {
--- /dev/null
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/NewerPeers.kt
@@ -0,0 +1,22 @@
+package io.poplarwood.gateway.peer
+
+/**
+ * Live peers that have newer rows of the store than this entry.
+ *
+ * @param versionOf store version of the rows that the sender of a heartbeat has
+ */
+internal class NewerPeers(
+    private val self: String,
+    private val zone: String,
+    private val peers: PeerTable,
+    private val versionOf: (PeerMessage.Hello) -> Long,
+) {
+    /**
+     * Addresses of the peers with rows newer than [storeVersion], those of the own zone first. Each entry
+     * has an order of its own, so that not all ask the same peer.
+     */
+    fun of(storeVersion: Long): List<String> =
+        peers.live.filter { peer -> (peer.hello?.let(versionOf) ?: 0) > storeVersion }
+            .sortedWith(compareBy({ it.record.zone != zone }, { (self + it.name).hashCode() }))
+            .map { it.record.peers }
+}
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerSync.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerSync.kt
@@ -1,143 +1,138 @@
 package io.poplarwood.gateway.peer
 
+import io.poplarwood.api.random.RandomSource
 import io.poplarwood.api.time.Ticker
-import io.poplarwood.gateway.configuration.Compression
+import io.poplarwood.gateway.configuration.TransferSources
 import io.poplarwood.gateway.log.EventLog
 import io.poplarwood.gateway.log.GatewayEvent
 import io.poplarwood.gateway.store.RowSnapshot
 import io.poplarwood.gateway.store.StateReplica
+import io.poplarwood.gateway.store.StoredRow
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.cbor.Cbor
-import kotlinx.serialization.decodeFromByteArray
-import kotlinx.serialization.encodeToByteArray
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Fetches newer registrations of upstreams from peers. An entry needs these while the store is unreachable for
- * it, or when it
- * starts during an outage of the store.
+ * Fetches newer registrations of upstreams from peers. An entry needs these while the store is unreachable for it, or
+ * when it starts during an outage of the store. A page that does not arrive in time is requested from another peer; the
+ * pages that have arrived are kept.
  *
- * @param fetch requests the rows from a peer, which replies with its [answer] to the query; null when the peer
- * does not
- * reply
+ * @param self address of this entry for other entries
+ * @param ask sends a query to the peer at an address; null when it does not reply in time
+ * @param holders peers with newer registrations
  */
 internal class PeerSync(
-    private val fetch: suspend (peer: String, query: String) -> ByteArray?,
-    private val peers: PeerTable,
+    private val self: String,
+    private val ask: suspend (address: String, query: RegistrationQuery) -> RegistrationReply?,
+    private val holders: NewerPeers,
     private val book: StateReplica,
-    private val zone: String,
+    private val random: RandomSource,
     private val scope: CoroutineScope,
     private val ticker: Ticker,
     private val log: EventLog,
 ) {
-    private val cbor = Cbor { ignoreUnknownKeys = true }
-    private var replies = 0
-    private var replyBytes = 0L
-    private var encodeTime = Duration.ZERO
-    private var fetching = false
-    private var failedPeer: String? = null
-
-    /** The encoded reply to a peer's query, which [RegistrationQuery] describes. */
-    fun reply(text: String): ByteArray {
-        val query = RegistrationQuery.parse(text)
-        val changes =
-            if (query.afterKey == null) book.upstreamChanges(query.covered)?.takeIf { it.size <= PAGE_ROWS } else null
-        val page = changes ?: book.upstreamPage(query.afterKey.orEmpty(), PAGE_ROWS + 1)
-        val snapshot = PeerSnapshot(
-            rows = (if (changes == null) page.take(PAGE_ROWS) else page).map(ReplicatedRow::of),
-            after = query.covered.takeIf { changes != null },
-            more = changes == null && page.size > PAGE_ROWS,
-            upstreamVersion = book.upstreamVersion,
-            coveredVersion = book.coveredVersion,
-        )
-        val encodeStartedAt = ticker.now()
-        return Compression.pack(cbor.encodeToByteArray(snapshot)).also {
-            replies++
-            replyBytes += it.size
-            encodeTime += ticker.now() - encodeStartedAt
-        }
-    }
+    private class Page(val reply: RegistrationReply.Page, val rows: List<StoredRow>)
 
-    /** Logs what was sent to peers since the last call, if anything was. */
-    fun logReplies() {
-        if (replies == 0) return
-        log.log(GatewayEvent.PEER_REPLY, book.upstreamVersion, replies, replyBytes, encodeTime.inWholeMilliseconds)
-        replies = 0
-        replyBytes = 0
-        encodeTime = Duration.ZERO
-    }
+    private val sources = TransferSources(self, holders::of, ticker)
+    private var fetching = false
 
-    /** Fetches from a peer with newer versions, if there is one; a peer of the own zone is preferred. */
+    /** Starts to fetch if a peer has newer registrations and this entry does not fetch already. */
     fun syncIfBehind() {
-        if (fetching) return
-        val newerPeers = peers.live.filter { hasNewer(it) }.sortedBy { it.record.zone != zone }
-        // A peer that did not send what was requested comes after the others.
-        val peer = newerPeers.firstOrNull { it.name != failedPeer } ?: newerPeers.firstOrNull() ?: return
+        if (fetching || holders.of(book.upstreamVersion).isEmpty()) return
         fetching = true
         scope.launch {
             try {
-                fetchFrom(peer)
+                fetch()
             } finally {
                 fetching = false
             }
         }
     }
 
-    /** Fetches what changed, or all pages when [peer] no longer knows what changed since then. */
-    private suspend fun fetchFrom(peer: PeerStatus) {
-        val first = fetchPage(peer, RegistrationQuery(book.coveredVersion, null)) ?: return
-        val after = first.after
-        if (after != null) {
-            val rows = RowSnapshot(first.rows.map { it.toStored() }, first.coveredVersion)
-            book.applyUpstreamChanges(rows, after, peer.name, first.upstreamVersion)
-            return
-        }
-        val pages = arrayListOf(first)
-        while (pages.last().more) {
-            val key = pages.last().rows.last().key
-            pages += fetchPage(peer, RegistrationQuery(book.coveredVersion, key)) ?: return
+    /** Fetches what changed, or all pages when the peer no longer knows what changed since then. */
+    private suspend fun fetch() {
+        sources.clearReferrals()
+        val pages = ArrayList<Page>()
+        var source: String? = null
+        var arrivedAt = ticker.now()
+        // Ends as well when the rows have arrived on another way meanwhile.
+        while (holders.of(book.upstreamVersion).isNotEmpty()) {
+            val peer = source ?: sources.next(book.upstreamVersion)
+            if (peer == null) {
+                if (pages.isEmpty() || ticker.now() - arrivedAt > RESUME_TIMEOUT) return
+                delay(BUSY_PAUSE)
+                continue
+            }
+            val page = fetchPage(peer, pages.lastOrNull()?.reply?.lastKey)
+            source = peer.takeIf { page != null }
+            if (page == null) continue
+            arrivedAt = ticker.now()
+            pages += page
+            if (page.reply.lastKey == null) return apply(pages, peer)
         }
-        val rows = pages.flatMap { page -> page.rows.map { it.toStored() } }
-        // What changed while the pages were read is fetched as a change after the lowest version.
-        book.applyAllUpstreams(
-            RowSnapshot(rows, pages.minOf { it.coveredVersion }),
-            peer.name,
-            pages.minOf { it.upstreamVersion },
-        )
     }
 
-    private suspend fun fetchPage(peer: PeerStatus, query: RegistrationQuery): PeerSnapshot? {
-        val knownVersion = book.upstreamVersion
-        val startedAt = ticker.now()
-        val body = fetch(peer.record.peers, query.encode())
-        val page = body?.let(::decode)
-        failedPeer = if (page == null) peer.name else failedPeer.takeIf { it != peer.name }
-        val result = if (body == null) {
-            "no-reply"
-        } else if (page == null) {
-            "unreadable"
+    private fun apply(pages: List<Page>, source: String) {
+        val first = pages.first()
+        val rows = pages.flatMap { it.rows }
+        // What changed while the pages were read is fetched as a change after the lowest version.
+        val covered = RowSnapshot(rows, pages.minOf { it.reply.coveredVersion })
+        val newest = pages.minOf { it.reply.upstreamVersion }
+        val after = first.reply.after
+        if (after != null) {
+            book.applyUpstreamChanges(covered, after, source, newest)
         } else {
-            "received"
+            book.applyAllUpstreams(covered, source, newest)
         }
-        val tookMs = (ticker.now() - startedAt).inWholeMilliseconds
-        log.log(GatewayEvent.PEER_FETCH, peer.name, knownVersion, body?.size ?: 0, tookMs, result)
-        return page
     }
 
-    private fun decode(body: ByteArray): PeerSnapshot? = try {
-        Compression.unpack(body)?.let { cbor.decodeFromByteArray<PeerSnapshot>(it) }
-    } catch (e: SerializationException) {
-        null
-    } catch (e: IllegalArgumentException) {
-        null
+    /** Requests the page behind [afterKey], or the first one, from [peer]; null when it did not send it. */
+    private suspend fun fetchPage(peer: String, afterKey: String?): Page? {
+        val query = RegistrationQuery(self, book.upstreamVersion, book.coveredVersion, afterKey)
+        val startedAt = ticker.now()
+        when (val reply = ask(peer, query)) {
+            is RegistrationReply.Page -> {
+                val rows = EncodedRegistrations.decode(reply.rows)
+                logFetch(peer, query, reply.rows.size, startedAt, if (rows == null) "unreadable" else "received")
+                if (rows != null) return Page(reply, rows)
+                sources.avoid(peer, FAILURE_PAUSE)
+            }
+            is RegistrationReply.Busy -> {
+                val pause = BUSY_PAUSE * (MIN_JITTER + random.nextDouble())
+                // Another peer is asked next, since a busy one with a narrow link stays busy for long.
+                sources.avoid(peer, pause * 2)
+                if (!sources.refer(reply.holders)) delay(pause)
+            }
+            RegistrationReply.Nothing -> sources.avoid(peer, NOTHING_PAUSE)
+            null -> {
+                logFetch(peer, query, 0, startedAt, "no-reply")
+                sources.avoid(peer, FAILURE_PAUSE)
+            }
+        }
+        return null
     }
 
-    private fun hasNewer(peer: PeerStatus) = (peer.hello?.upstreamVersion ?: 0) > book.upstreamVersion
+    private fun logFetch(peer: String, query: RegistrationQuery, bytes: Int, startedAt: Duration, result: String) {
+        val tookMs = (ticker.now() - startedAt).inWholeMilliseconds
+        log.log(GatewayEvent.PEER_FETCH, peer, query.newest, bytes, tookMs, result)
+    }
 
     private companion object {
-        /** Rows of one page; with 330 bytes each, a page takes a link of 7 Mbit/s less than 50 ms. */
-        const val PAGE_ROWS = 500
+        /** A peer that did not reply is asked again after this time at the earliest. */
+        val FAILURE_PAUSE = 300.milliseconds
+
+        /** Time for which the pages that have arrived are kept when no peer can send the others. */
+        val RESUME_TIMEOUT = 3_000.milliseconds
+
+        /** Time that a peer needs to apply what it has just received. */
+        val NOTHING_PAUSE = 100.milliseconds
+
+        /** Pause after the reply of a busy peer; a narrow link needs about as long for a page. */
+        val BUSY_PAUSE = 40.milliseconds
+
+        /** The jitter factor lies between this and 1.5. */
+        const val MIN_JITTER = 0.5
     }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/RegistrationQuery.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/RegistrationQuery.kt
@@ -6,26 +6,36 @@
 /**
  * Asks a peer for registrations.
  *
+ * @property receiver address of the asking entry for other entries
+ * @property newest store version of the newest change of a registration that the asking entry has
  * @property covered store version up to which the asking entry has every registration
  * @property afterKey null for what changed after [covered]; otherwise the key behind which a page of all registrations
  *   begins, empty for the first page
  */
-internal data class RegistrationQuery(val covered: Long, val afterKey: String?) {
+internal data class RegistrationQuery(
+    val receiver: String,
+    val newest: Long,
+    val covered: Long,
+    val afterKey: String?,
+) {
     /** This query as the end of a request target. */
-    fun encode(): String =
-        covered.toString() + afterKey?.let { SEPARATOR + URLEncoder.encode(it, Charsets.UTF_8) }.orEmpty()
+    fun encode(): String {
+        val key = afterKey?.let { URLEncoder.encode(it, Charsets.UTF_8) }
+        return listOfNotNull(receiver, newest, covered, key).joinToString(SEPARATOR)
+    }
 
     companion object {
         private const val SEPARATOR = "/"
+        private const val FIELDS = 3
 
-        /** Parses what [encode] returned. */
-        fun parse(text: String): RegistrationQuery {
-            val covered = text.substringBefore(SEPARATOR).toLongOrNull() ?: 0
-            val key = text.substringAfter(SEPARATOR, MISSING).takeIf { it != MISSING }
-            return RegistrationQuery(covered, key?.let { URLDecoder.decode(it, Charsets.UTF_8) })
+        /** Parses what [encode] returned; null when [text] is something else. */
+        fun parse(text: String): RegistrationQuery? {
+            val fields = text.split(SEPARATOR)
+            if (fields.size !in FIELDS..FIELDS + 1) return null
+            val newest = fields[1].toLongOrNull() ?: return null
+            val covered = fields[2].toLongOrNull() ?: return null
+            val key = fields.getOrNull(FIELDS)?.let { URLDecoder.decode(it, Charsets.UTF_8) }
+            return RegistrationQuery(fields.first(), newest, covered, key)
         }
-
-        /** Cannot be part of an encoded query. */
-        private const val MISSING = "\u0000"
     }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/StateExchange.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/StateExchange.kt
@@ -5,16 +5,21 @@
 import io.poplarwood.gateway.configuration.BackgroundWork
 import io.poplarwood.gateway.configuration.ConfigurationFetcher
 import io.poplarwood.gateway.configuration.ConfigurationSender
+import io.poplarwood.gateway.configuration.TransferAdmission
 import io.poplarwood.gateway.configuration.TransferQuery
 import io.poplarwood.gateway.configuration.TransferReply
 import io.poplarwood.gateway.configuration.TransferSlots
+import io.poplarwood.gateway.configuration.TransferSources
 import io.poplarwood.gateway.log.EventLog
 import io.poplarwood.gateway.metrics.GatewayMetrics
-import io.poplarwood.gateway.peer.ConfigurationHolders
 import io.poplarwood.gateway.peer.ConfigurationSync
+import io.poplarwood.gateway.peer.NewerPeers
 import io.poplarwood.gateway.peer.PeerRecord
 import io.poplarwood.gateway.peer.PeerSync
 import io.poplarwood.gateway.peer.PeerTable
+import io.poplarwood.gateway.peer.RegistrationQuery
+import io.poplarwood.gateway.peer.RegistrationReply
+import io.poplarwood.gateway.peer.RegistrationSender
 import io.poplarwood.gateway.store.StateReplica
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
@@ -26,7 +31,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Exchange of the store's rows with other entries: desired states in pieces, registrations in one reply.
+ * Exchange of the store's rows with other entries: desired states in pieces, registrations in pages.
  *
  * @param call requests the given path from the peer at an address; null when the peer does not reply in time
  * @param linkMbps bandwidth of this VM's link, in megabits per second
@@ -47,22 +52,35 @@
 ) {
     private val cbor = Cbor { ignoreUnknownKeys = true }
     private val transfers = TransferRecorder(log, metrics)
-    private val holders = ConfigurationHolders(self, record.zone, peers)
-    private val sender = ConfigurationSender(
+    private val takesCallers = { address: String -> peers.active.any { it.record.peers == address } }
+    private val slots = TransferSlots.forLink(linkMbps)
+
+    private val configurationHolders = NewerPeers(self, record.zone, peers) { it.stateVersion }
+    private val configurationSender =
+        ConfigurationSender(book.history, admission(ticker), background, ticker, transfers)
+    private val fetcher = ConfigurationFetcher(
+        record.peers,
+        { address, query -> ask(address, CONFIGURATION_PATH + query.encode()) },
+        TransferSources(record.peers, configurationHolders::of, ticker),
         book.history,
-        TransferSlots(TransferSlots.forLink(linkMbps)),
-        { address -> peers.active.any { it.record.peers == address } },
         background,
+        random,
         ticker,
         transfers,
     )
-    private val fetcher =
-        ConfigurationFetcher(record.peers, ::ask, holders::of, book.history, background, random, ticker, transfers)
-    private val configurations = ConfigurationSync(fetcher, holders, book, scope)
-    private val registrations =
-        PeerSync({ peer, query ->
-            call(peer, REGISTRATIONS_PATH + query)
-        }, peers, book, record.zone, scope, ticker, log)
+    private val configurations = ConfigurationSync(fetcher, configurationHolders, book, scope)
+
+    private val registrationSender = RegistrationSender(book, admission(ticker), background, ticker, log)
+    private val registrations = PeerSync(
+        record.peers,
+        { address, query -> ask(address, REGISTRATIONS_PATH + query.encode()) },
+        NewerPeers(self, record.zone, peers) { it.upstreamVersion },
+        book,
+        random,
+        scope,
+        ticker,
+        log,
+    )
     private var scheduled = false
 
     /**
@@ -87,23 +105,28 @@
 
     /** Logs what was sent to peers since the last call, if anything was. */
     fun logReplies() {
-        registrations.logReplies()
+        registrationSender.logReplies()
         transfers.flush(book.stateVersion)
     }
 
     /** Reply to a peer's request for [path]; null when the path is something else. */
     suspend fun reply(path: String): ByteArray? = when {
-        path.startsWith(REGISTRATIONS_PATH) -> registrations.reply(path.removePrefix(REGISTRATIONS_PATH))
+        path.startsWith(REGISTRATIONS_PATH) -> RegistrationQuery.parse(path.removePrefix(REGISTRATIONS_PATH))?.let {
+            cbor.encodeToByteArray<RegistrationReply>(registrationSender.reply(it))
+        }
         path.startsWith(CONFIGURATION_PATH) -> TransferQuery.parse(path.removePrefix(CONFIGURATION_PATH))?.let {
-            cbor.encodeToByteArray<TransferReply>(sender.reply(it))
+            cbor.encodeToByteArray<TransferReply>(configurationSender.reply(it))
         }
         else -> null
     }
 
-    private suspend fun ask(address: String, query: TransferQuery): TransferReply? {
-        val bytes = call(address, CONFIGURATION_PATH + query.encode()) ?: return null
+    /** Receivers of configurations and of registrations are bounded apart: a receiver of both has a slot of each. */
+    private fun admission(ticker: Ticker) = TransferAdmission(TransferSlots(slots), takesCallers, ticker)
+
+    private suspend inline fun <reified T : Any> ask(address: String, path: String): T? {
+        val bytes = call(address, path) ?: return null
         return try {
-            cbor.decodeFromByteArray<TransferReply>(bytes)
+            cbor.decodeFromByteArray<T>(bytes)
         } catch (e: SerializationException) {
             null
         } catch (e: IllegalArgumentException) {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateReplica.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateReplica.kt
@@ -14,6 +14,7 @@
 import io.poplarwood.gateway.upstream.UpstreamRow
 import io.poplarwood.gateway.upstream.UpstreamTable
 import kotlinx.coroutines.CompletableDeferred
+import java.util.TreeMap
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -34,7 +35,7 @@
     private val onChanged: () -> Unit,
     private val onUnavailable: (UpstreamRow) -> Unit,
 ) {
-    private val upstreamRows = LinkedHashMap<String, StoredRow>()
+    private val upstreamRows = TreeMap<String, StoredRow>()
     private val pendingRemoval = HashMap<String, Duration>()
     private val removedVersions = RecentVersions(MAX_REMOVED_VERSIONS)
 
@@ -178,7 +179,7 @@
 
     /** Up to [limit] registrations in the order of their keys, beginning behind the key [after]. */
     fun upstreamPage(after: String, limit: Int): List<StoredRow> =
-        upstreamRows.values.filter { it.key > after }.sortedBy { it.key }.take(limit)
+        upstreamRows.tailMap(after, false).values.take(limit)
 
     /**
      * The registrations that changed or were removed after store version [covered]; null when removals of that time are
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/configuration/ConfigurationFetcherSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/configuration/ConfigurationFetcherSpec.kt
@@ -32,7 +32,8 @@
     private fun TestScope.fetcher(): ConfigurationFetcher {
         val ticker = Ticker { testScheduler.currentTime.milliseconds }
         senders = listOf("p", "q", "r").associateWith {
-            ConfigurationSender(newer, TransferSlots(2), { false }, { it() }, ticker, NoTransferLog)
+            val admission = TransferAdmission(TransferSlots(2), { false }, ticker)
+            ConfigurationSender(newer, admission, { it() }, ticker, NoTransferLog)
         }
         return ConfigurationFetcher(
             "self",
@@ -41,7 +42,7 @@
                 delay(5.milliseconds)
                 disturbance(peer, query)
             },
-            { holders },
+            TransferSources("self", { holders }, ticker),
             own,
             { it() },
             SplitMix(1),
@@ -113,8 +114,9 @@
         fun `does not go on with a sender that lacks the earlier version`() = runTest {
             val fetcher = fetcher()
             val whole = ConfigurationHistory().apply { add(configuration(2, routes = 2_000)) }
-            val other =
-                ConfigurationSender(whole, TransferSlots(2), { false }, { it() }, { Duration.ZERO }, NoTransferLog)
+            val ticker = Ticker { Duration.ZERO }
+            val admission = TransferAdmission(TransferSlots(2), { false }, ticker)
+            val other = ConfigurationSender(whole, admission, { it() }, ticker, NoTransferLog)
             disturbance = { peer, query ->
                 when {
                     peer == "q" -> other.reply(query)
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/configuration/TransferSlotsSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/configuration/TransferSlotsSpec.kt
@@ -6,6 +6,7 @@
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 class TransferSlotsSpec {
@@ -33,12 +34,23 @@
         }
 
         @Test
-        fun `that have all pieces free their slot`() {
+        fun `that get nothing more free their slot`() {
             assertTrue(admit("a") && admit("b"))
             slots.release("a")
             assertTrue(admit("c"))
         }
 
+        /** Guards against any number of receivers at the same time when each receives a single message. */
+        @Test
+        fun `that have all pieces free their slot when the last one has left`() {
+            assertTrue(admit("a") && admit("b"))
+            slots.finished("a", bytes = 50_000, now)
+            now += 79.milliseconds
+            assertFalse(admit("c"))
+            now += 2.milliseconds
+            assertTrue(admit("c"))
+        }
+
         /** Guards against slots that stay taken by entries that ended during a transfer. */
         @Test
         fun `that stop asking lose their slot`() {
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/PeerSyncSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/PeerSyncSpec.kt
@@ -3,7 +3,10 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import io.poplarwood.api.random.SplitMix
 import io.poplarwood.api.time.Ticker
+import io.poplarwood.gateway.configuration.TransferAdmission
+import io.poplarwood.gateway.configuration.TransferSlots
 import io.poplarwood.gateway.log.EventLog
 import io.poplarwood.gateway.route.DesiredState
 import io.poplarwood.gateway.store.RowSnapshot
@@ -18,9 +21,12 @@
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runCurrent
 import kotlinx.coroutines.test.runTest
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.encodeToByteArray
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
 import kotlin.test.assertTrue
 import kotlin.time.Duration
 
@@ -51,11 +57,15 @@
         val peers = PeerTable("receiver")
         val version = sender.book.upstreamVersion
         peers.onHeartbeat(hello("sender").copy(upstreamVersion = version), Duration.ZERO)
-        val answering = PeerSync({ _, _ -> null }, peers, sender.book, "z1", backgroundScope, TICKER, EventLog())
-        val fetch: suspend (String, String) -> ByteArray? = { _, query ->
-            answering.reply(query).also { replySizes += it.size }
+        val admission = TransferAdmission(TransferSlots(2), { false }, TICKER)
+        val answering = RegistrationSender(sender.book, admission, { it() }, TICKER, EventLog())
+        val ask: suspend (String, RegistrationQuery) -> RegistrationReply? = { _, query ->
+            val parsed = assertNotNull(RegistrationQuery.parse(query.encode()))
+            answering.reply(parsed).also { replySizes += Cbor.encodeToByteArray<RegistrationReply>(it).size }
         }
-        PeerSync(fetch, peers, receiver.book, "z1", backgroundScope, TICKER, EventLog()).syncIfBehind()
+        val holders = NewerPeers("receiver", "z1", peers) { it.upstreamVersion }
+        PeerSync("receiver", ask, holders, receiver.book, SplitMix(1), backgroundScope, TICKER, EventLog())
+            .syncIfBehind()
         runCurrent()
     }
 
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedStore.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedStore.kt
@@ -43,6 +43,10 @@
         rows.getValue(topic)[key] = StoredRow(key, value?.encodeToByteArray(), version)
     }
 
+    /** Version of each present row of [topic], by its key. */
+    fun versions(topic: Topic): Map<String, Long> =
+        rows.getValue(topic).values.filter { it.value != null }.associate { it.key to it.version }
+
     /** Drops the change history so far. */
     fun dropHistory() {
         historyStart = version
