Add a measurement of large configurations at small entries

Cause: nothing measured how long readiness checks and callers wait while an entry with 0.3 of a core and a link of 7 Mbit/s takes in thousands of routes. Change: bench configurations starts six or eight entries as processes with the flags of deploy/system.toml, two to four of them bound to one processor and running 30 ms of each 100 ms (SIGSTOP, SIGCONT), each with a relayed link to the stand-in store.

--- a/bench/src/main/kotlin/io/poplarwood/bench/Benches.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/Benches.kt
@@ -3,6 +3,7 @@
 import io.poplarwood.bench.api.Bench
 import io.poplarwood.bench.budget.BudgetBench
 import io.poplarwood.bench.config.ConfigBench
+import io.poplarwood.bench.configurations.ConfigurationsBench
 import io.poplarwood.bench.cost.DecisionCostBench
 import io.poplarwood.bench.deep.DeepBench
 import io.poplarwood.bench.flood.FloodBench
@@ -22,6 +23,7 @@
         BudgetBench(),
         OverheadBench(),
         ConfigBench(),
+        ConfigurationsBench(),
         DrainBench(),
         FaultsBench(),
         DeepBench(),
--- /dev/null
+++ b/bench/src/main/kotlin/io/poplarwood/bench/configurations/EntryVm.kt
@@ -0,0 +1,105 @@
+package io.poplarwood.bench.configurations
+
+import io.poplarwood.gateway.settings.GatewaySettings
+import io.poplarwood.gateway.settings.ProcessLimits
+import io.poplarwood.platform.standin.LinkRelay
+import io.poplarwood.platform.standin.StandInCell
+import kotlinx.serialization.json.Json
+import java.io.File
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** One entry as a process of its own, with a link to the store and a share of a processor; logs to [directory]. */
+internal class EntryVm(
+    val name: String,
+    zone: String,
+    val shape: VmShape,
+    cell: StandInCell,
+    private val shares: ProcessorShare,
+    private val directory: Path,
+) : AutoCloseable {
+    /** Link from the store to this entry. */
+    val link = LinkRelay(cell.store.address).apply { bitsPerSecond = shape.linkMbps * BITS_PER_MEGABIT }
+    private val settings = cell.settings(name, zone, link.address).let {
+        it.copy(
+            limits = ProcessLimits(MEMORY_MB, MAX_DESCRIPTORS, shape.processorShare, 1.0, shape.linkMbps),
+            bounds = it.bounds.copy(changeS = ConfigurationsBench.BOUND_S),
+        )
+    }
+    private val settingsFile = directory.resolve("$name.json")
+    private var process: Process? = null
+
+    /** Address for callers. */
+    val callers: String get() = settings.listen.callers
+
+    /** Address for readiness checks. */
+    val readiness: String get() = settings.listen.readiness
+
+    /** Number of starts so far; equal before and after an answer if the entry did not restart meanwhile. */
+    @Volatile
+    var starts: Int = 0
+        private set
+
+    /** When the running process first answered that it is ready, by [System.nanoTime]; null before. */
+    @Volatile
+    var readyAtNs: Long? = null
+
+    /** Largest memory of the running process in megabytes; NaN where the system does not tell. */
+    val peakMemoryMb: Double
+        get() {
+            val status = File("/proc/${process?.pid()}/status").takeIf { it.canRead() } ?: return Double.NaN
+            val line = status.readLines().firstOrNull { it.startsWith("VmHWM:") } ?: return Double.NaN
+            return line.filter { it.isDigit() }.toDouble() / KILOBYTES_PER_MEGABYTE
+        }
+
+    /** Starts the process. */
+    fun start() {
+        Files.writeString(settingsFile, Json.encodeToString(GatewaySettings.serializer(), settings))
+        val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
+        val command = listOf(java) + JVM_FLAGS + program() + listOf("gateway", "--settings", settingsFile.toString())
+        val log = ProcessBuilder.Redirect.appendTo(directory.resolve("$name.log").toFile())
+        val started = ProcessBuilder(if (shape.small) ProcessorShare.onOneCore(command, shape.core) else command)
+            .redirectErrorStream(true).redirectOutput(log).start()
+        process = started
+        starts++
+        if (shape.small) shares.limit(started, shape.processorShare, shape.phase)
+    }
+
+    /** Ends the process without a graceful stop, as the loss of a VM does. */
+    fun kill() {
+        readyAtNs = null
+        starts++
+        process?.destroyForcibly()?.waitFor()
+    }
+
+    override fun close() {
+        kill()
+        link.close()
+    }
+
+    private companion object {
+        const val MEMORY_MB = 330
+        const val MAX_DESCRIPTORS = 4_100
+        const val BITS_PER_MEGABIT = 1e6
+        const val KILOBYTES_PER_MEGABYTE = 1_024
+
+        /** The flags of deploy/system.toml. */
+        val JVM_FLAGS = listOf(
+            "-Xmx160m",
+            "-Xss256k",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-XX:-UsePerfData",
+            "-Xshare:auto",
+        )
+
+        /** The jar of the daemon beside the running jar, with its archive of classes; the class path in tests. */
+        fun program(): List<String> {
+            val classPath = System.getProperty("java.class.path")
+            val jar = File(classPath).absoluteFile.resolveSibling("poplarwood-daemon.jar")
+            if (!jar.exists()) return listOf("-cp", classPath, "io.poplarwood.daemon.MainKt")
+            val archive = jar.resolveSibling("poplarwood-daemon.jsa")
+            return listOfNotNull("-XX:SharedArchiveFile=$archive".takeIf { archive.exists() }, "-jar", jar.path)
+        }
+    }
+}
