Free the slot of a receiver as soon as a wide link has sent its last message

A slot was held as if each receiver had 5 Mbit/s, also on links of 140 or 1,000 Mbit/s with 16 slots. It is now held for the share of the link that a slot stands for, 5 Mbit/s at least. Spec: on 1,000 Mbit/s the slot of 50,000 bytes is free after 7 ms; it was after 80.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/TransferSlots.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/TransferSlots.kt
@@ -8,9 +8,10 @@
  * Bounds the number of entries that receive a configuration change from this entry at the same time. Entries that take
  * callers are admitted before others: half of the slots are kept for them.
  *
- * @param slots number of entries served at the same time, at least 2
+ * @property slots number of entries served at the same time, at least 2
+ * @param mbpsPerSlot bandwidth for each of them, in megabits per second
  */
-internal class TransferSlots(private val slots: Int) {
+internal class TransferSlots(val slots: Int, private val mbpsPerSlot: Double = MIN_MBPS_PER_SLOT) {
     private val heldUntil = HashMap<String, Duration>()
 
     /** Whether [receiver] may be served now; if so, it holds a slot until its transfer ends, or it stops asking. */
@@ -32,7 +33,7 @@
      * otherwise the receivers of one message each would not be bounded.
      */
     fun finished(receiver: String, bytes: Int, now: Duration) {
-        heldUntil[receiver] = now + (bytes * BITS / (MBPS_PER_SLOT * BITS_PER_MEGABIT)).seconds
+        heldUntil[receiver] = now + (bytes * BITS / (mbpsPerSlot * BITS_PER_MEGABIT)).seconds
     }
 
     companion object {
@@ -40,11 +41,14 @@
         private val IDLE_TIMEOUT = 700.milliseconds
         private const val MIN_SLOTS = 2
         private const val MAX_SLOTS = 16
-        private const val MBPS_PER_SLOT = 5.0
+        private const val MIN_MBPS_PER_SLOT = 5.0
         private const val BITS = 8
         private const val BITS_PER_MEGABIT = 1_000_000
 
-        /** Number of slots that a link of [linkMbps] megabits per second bears beside callers' requests. */
-        fun forLink(linkMbps: Double): Int = (linkMbps / MBPS_PER_SLOT).toInt().coerceIn(MIN_SLOTS, MAX_SLOTS)
+        /** The slots that a link of [linkMbps] megabits per second bears beside callers' requests. */
+        fun forLink(linkMbps: Double): TransferSlots {
+            val slots = (linkMbps / MIN_MBPS_PER_SLOT).toInt().coerceIn(MIN_SLOTS, MAX_SLOTS)
+            return TransferSlots(slots, maxOf(linkMbps / slots, MIN_MBPS_PER_SLOT))
+        }
     }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/StateExchange.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/StateExchange.kt
@@ -42,7 +42,7 @@
     private val call: suspend (address: String, path: String) -> ByteArray?,
     peers: PeerTable,
     private val book: StateReplica,
-    linkMbps: Double,
+    private val linkMbps: Double,
     background: BackgroundWork,
     random: RandomSource,
     private val scope: CoroutineScope,
@@ -53,7 +53,6 @@
     private val cbor = Cbor { ignoreUnknownKeys = true }
     private val transfers = TransferRecorder(log, metrics)
     private val takesCallers = { address: String -> peers.active.any { it.record.peers == address } }
-    private val slots = TransferSlots.forLink(linkMbps)
 
     private val configurationHolders = NewerPeers(self, record.zone, peers) { it.stateVersion }
     private val configurationSender =
@@ -121,7 +120,7 @@
     }
 
     /** Receivers of configurations and of registrations are bounded apart: a receiver of both has a slot of each. */
-    private fun admission(ticker: Ticker) = TransferAdmission(TransferSlots(slots), takesCallers, ticker)
+    private fun admission(ticker: Ticker) = TransferAdmission(TransferSlots.forLink(linkMbps), takesCallers, ticker)
 
     private suspend inline fun <reified T : Any> ask(address: String, path: String): T? {
         val bytes = call(address, path) ?: return null
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/configuration/TransferSlotsSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/configuration/TransferSlotsSpec.kt
@@ -51,6 +51,17 @@
             assertTrue(admit("c"))
         }
 
+        /** Guards against receivers that wait for a wide link as long as for a narrow one. */
+        @Test
+        fun `free their slot sooner on a wide link`() {
+            val wide = TransferSlots.forLink(1_000.0)
+            repeat(8) { assertTrue(wide.admit("$it", false, now)) }
+            wide.finished("0", bytes = 50_000, now)
+            assertFalse(wide.admit("8", false, now))
+            now += 7.milliseconds
+            assertTrue(wide.admit("8", false, now))
+        }
+
         /** Guards against slots that stay taken by entries that ended during a transfer. */
         @Test
         fun `that stop asking lose their slot`() {
@@ -64,6 +75,6 @@
     inner class `the number of slots` {
         @Test
         fun `follows the bandwidth of the link within bounds`() =
-            assertEquals(listOf(2, 8, 16), listOf(7.0, 40.0, 1_000.0).map(TransferSlots::forLink))
+            assertEquals(listOf(2, 8, 16), listOf(7.0, 40.0, 1_000.0).map { TransferSlots.forLink(it).slots })
     }
 }
