--- a/gateway/src/test/kotlin/io/poplarwood/gateway/configuration/ConfigurationFetcherSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/configuration/ConfigurationFetcherSpec.kt
@@ -145,7 +145,7 @@
             assertTrue(asked.size < 60, "${asked.size} queries in a second")
         }
 
-        /** Guards against whole configurations for entries whose peers skipped a version, as when versions come quickly. */
+        /** Guards against whole configurations for entries whose peers skipped a version. */
         @Test
         fun `takes the change from an earlier version when the peer skipped the newest own one`() = runTest {
             own.add(Configuration(configuration(1, routes = 12).state, 15))
