Send only the services that changed with a configuration

Evidence: ChangeSizesSpec had no services in its states. ConfigurationChangeSpec has services that stay, change, go, and 4,000 of them, which are divided among pieces. Why it works: services are compared as routes are; the digest covers all of them, so a difference that does not fit is discarded.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/ChangePieces.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/ChangePieces.kt
@@ -1,5 +1,6 @@
 package io.poplarwood.gateway.configuration
 
+import io.poplarwood.api.id.ServiceName
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.decodeFromByteArray
@@ -10,23 +11,30 @@
  * two desired states make the same pieces, so a receiver can take each piece from another sender.
  */
 internal object ChangePieces {
-    /** Number of routes, added and removed together, in one piece. */
+    /** Number of routes, added or removed, in one piece, and of services. */
     const val ROUTES_PER_PIECE: Int = 400
 
     private val cbor = Cbor { ignoreUnknownKeys = true }
 
     /** The pieces of [change], at least one. */
     fun split(change: ConfigurationChange): List<ByteArray> {
-        val header = ChangeHeader(
-            change.version,
-            change.services.map(ServiceRow::of),
-            LimitsRow.of(change.limits),
-        )
-        val removed = change.removed.map { KeyRow(it.host, it.prefix) }.chunked(ROUTES_PER_PIECE)
-        val added = change.added.map(RouteRow::of).chunked(ROUTES_PER_PIECE)
-        val contents = removed.map { PieceContent(removed = it) } + added.map { PieceContent(added = it) }
-        val first = contents.firstOrNull() ?: PieceContent()
-        return (listOf(PieceContent(header, first.removed, first.added)) + contents.drop(1)).map(::pack)
+        val header = ChangeHeader(change.version, LimitsRow.of(change.limits))
+        val removedServices = change.removedServices.chunked(ROUTES_PER_PIECE) { names -> names.map { it.value } }
+        val addedServices = change.addedServices.chunked(ROUTES_PER_PIECE) { it.map(ServiceRow::of) }
+        val removed = change.removed.chunked(ROUTES_PER_PIECE) { keys -> keys.map { KeyRow(it.host, it.prefix) } }
+        val added = change.added.chunked(ROUTES_PER_PIECE) { it.map(RouteRow::of) }
+        val routePieces = removed.size + added.size
+        return List(maxOf(1, removedServices.size, addedServices.size, routePieces)) { i ->
+            pack(
+                PieceContent(
+                    header.takeIf { i == 0 },
+                    removedServices.getOrElse(i) { emptyList() },
+                    addedServices.getOrElse(i) { emptyList() },
+                    removed.getOrElse(i) { emptyList() },
+                    added.getOrElse(i - removed.size) { emptyList() },
+                ),
+            )
+        }
     }
 
     /** The change whose pieces are [pieces], in order; null when a piece cannot be decoded. */
@@ -37,8 +45,9 @@
             from = from,
             to = to,
             version = header.version,
-            services = header.services.map { it.toSpec() },
             limits = header.limits.toLimits(),
+            removedServices = contents.flatMap { content -> content.removedServices.map(::ServiceName) },
+            addedServices = contents.flatMap { content -> content.addedServices.map { it.toSpec() } },
             removed = contents.flatMap { content -> content.removed.map { it.toKey() } },
             added = contents.flatMap { content -> content.added.map { it.toRoute() } },
             digest = digest,
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/PieceContent.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/PieceContent.kt
@@ -11,20 +11,21 @@
 /**
  * Content of one piece of a configuration change.
  *
- * @property header what is not a route; in the first piece only
+ * @property header what is neither a route nor a service; in the first piece only
  */
 @Serializable
 internal class PieceContent(
     @SerialName("h") val header: ChangeHeader? = null,
+    @SerialName("x") val removedServices: List<String> = emptyList(),
+    @SerialName("s") val addedServices: List<ServiceRow> = emptyList(),
     @SerialName("r") val removed: List<KeyRow> = emptyList(),
     @SerialName("a") val added: List<RouteRow> = emptyList(),
 )
 
-/** The part of a configuration change that is not a route. */
+/** The part of a configuration change that is neither a route nor a service. */
 @Serializable
 internal class ChangeHeader(
     @SerialName("v") val version: Long,
-    @SerialName("s") val services: List<ServiceRow>,
     @SerialName("l") val limits: LimitsRow,
 )
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/ServiceLists.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/ServiceLists.kt
@@ -5,6 +5,8 @@
 import kotlinx.collections.immutable.ImmutableMap
 import kotlinx.collections.immutable.toImmutableMap
 
-/** The services by their names. */
-internal fun List<ServiceSpec>.associateByName(): ImmutableMap<ServiceName, ServiceSpec> =
-    associateBy { it.name }.toImmutableMap()
+/** These services without the [removed] ones and with the [added] ones, which replace those of the same names. */
+internal fun Map<ServiceName, ServiceSpec>.change(
+    removed: List<ServiceName>,
+    added: List<ServiceSpec>,
+): ImmutableMap<ServiceName, ServiceSpec> = (this - removed.toSet() + added.associateBy { it.name }).toImmutableMap()
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/configuration/ChangeSizesSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/configuration/ChangeSizesSpec.kt
@@ -8,8 +8,9 @@
 import io.poplarwood.gateway.route.Route
 import io.poplarwood.gateway.route.RouteTable
 import io.poplarwood.gateway.route.ServiceShare
+import io.poplarwood.gateway.route.ServiceSpec
 import kotlinx.collections.immutable.persistentListOf
-import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toImmutableMap
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
 import kotlin.test.assertTrue
@@ -43,8 +44,11 @@
         }
     }
 
+    private val services = List(SERVICES) { ServiceSpec(ServiceName("service-$it"), "/${name(8)}/health", 200) }
+        .associateBy { it.name }.toImmutableMap()
+
     private fun configuration(version: Long, routes: List<Route>) =
-        Configuration(DesiredState(version, persistentMapOf(), RouteTable.of(routes), CallerLimits()), version)
+        Configuration(DesiredState(version, services, RouteTable.of(routes), CallerLimits()), version)
 
     private fun size(earlier: List<Route>?, later: List<Route>): Int {
         val change = ConfigurationChange.between(earlier?.let { configuration(1, it) }, configuration(2, later))
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/configuration/ConfigurationChangeSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/configuration/ConfigurationChangeSpec.kt
@@ -1,6 +1,9 @@
 package io.poplarwood.gateway.configuration
 
+import io.poplarwood.api.id.ServiceName
+import io.poplarwood.gateway.route.ServiceSpec
 import io.poplarwood.gateway.support.configuration
+import kotlinx.collections.immutable.toImmutableMap
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -41,6 +44,39 @@
         }
     }
 
+    @Nested
+    inner class `services` {
+        private fun withServices(version: Long, specs: List<ServiceSpec>) = configuration(version, routes = 10).let {
+            Configuration(it.state.copy(services = specs.associateBy(ServiceSpec::name).toImmutableMap()), version)
+        }
+
+        private val spec = ServiceSpec(ServiceName("kept"), "/health", 200)
+        private val before = withServices(1, listOf(spec, spec.copy(name = ServiceName("gone"))))
+
+        /** Guards against changes of routes that cost as much as there are services. */
+        @Test
+        fun `that stay the same are not sent`() {
+            val change = ConfigurationChange.between(before, withServices(2, listOf(spec)))
+            assertEquals(emptyList(), transferred(change).addedServices)
+        }
+
+        @Test
+        fun `are added, replaced and removed`() {
+            val after = withServices(2, listOf(spec.copy(maxConnections = 1), spec.copy(name = ServiceName("new"))))
+            val change = ConfigurationChange.between(before, after)
+            assertEquals(after.state.services, transferred(change).applyTo(before.state)?.state?.services)
+        }
+
+        /** Guards against a message that grows with the number of services. */
+        @Test
+        fun `are divided among pieces`() {
+            val many = List(SERVICES) { spec.copy(name = ServiceName("service-$it")) }
+            val change = ConfigurationChange.between(null, withServices(1, many))
+            assertEquals(SERVICES / ChangePieces.ROUTES_PER_PIECE, ChangePieces.split(change).size)
+            assertEquals(SERVICES, transferred(change).applyTo(null)?.state?.services?.size)
+        }
+    }
+
     @Nested
     inner class `a whole desired state` {
         @Test
@@ -81,5 +117,6 @@
     private companion object {
         /** Takes a link of 7 Mbit/s less than 40 ms. */
         const val MAX_PIECE_BYTES = 32 * 1024
+        const val SERVICES = 4_000
     }
 }
