Take a newer version when no peer can send the rest of the first one

An entry that had received pieces of a version waited up to 3 s for the missing ones when their only sender had become silent and all other peers had skipped that version, and fetched nothing else meanwhile. With versions every 300 ms this leaves it past the bound, so it refuses requests. A reply of Nothing to a request for a piece now shows that the peer has skipped the version; when no other peer can go on, the fetch starts again with the newest version.

The spec failed before: the fetch ended without the newer version.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/ConfigurationFetcher.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/ConfigurationFetcher.kt
@@ -3,6 +3,7 @@
 import io.poplarwood.api.random.RandomSource
 import io.poplarwood.api.time.Ticker
 import kotlinx.coroutines.delay
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -35,10 +36,15 @@
             val peer = sources.next(knownVersion) ?: return null
             when (val reply = query(peer, TransferQuery(self, bases, 0, 0))) {
                 is TransferReply.Piece -> {
-                    complete(peer, reply)?.let { return it }
-                    // A change that does not fit is not requested again, since other peers may send the same.
-                    bases = emptyList()
-                    delay(BUSY_PAUSE)
+                    val received = collect(peer, reply)
+                    if (received == null) {
+                        delay(NOTHING_PAUSE)
+                    } else {
+                        decode(reply, received)?.let { return it }
+                        // A change that does not fit is not requested again, since other peers may send the same.
+                        bases = emptyList()
+                        delay(BUSY_PAUSE)
+                    }
                 }
                 is TransferReply.Busy -> {
                     if (!sources.refer(reply.holders)) delay(BUSY_PAUSE * (MIN_JITTER + random.nextDouble()))
@@ -50,38 +56,54 @@
         return null
     }
 
-    /** Fetches the pieces after the [first] one, which [peer] has sent, and applies them all. */
-    private suspend fun complete(peer: String, first: TransferReply.Piece): Fetched? {
+    /** Fetches the pieces after the [first] one, which [peer] has sent; null when no peer can send the others. */
+    private suspend fun collect(peer: String, first: TransferReply.Piece): Received? {
         val startedAt = ticker.now()
         val base = if (first.from == 0L) null else history[first.from] ?: return null
         val pieces = ArrayList<ByteArray>(first.count)
         pieces += first.bytes
-        var source: String? = peer
+        var source = peer
         var arrivedAt = startedAt
         while (pieces.size < first.count) {
-            if (source == null) {
-                if (ticker.now() - arrivedAt > RESUME_TIMEOUT) return null
-                delay(BUSY_PAUSE)
-            } else {
-                val reply = query(source, TransferQuery(self, listOfNotNull(base?.storeVersion), first.to, pieces.size))
-                if (reply is TransferReply.Piece && reply.continues(first)) {
-                    pieces += reply.bytes
-                    arrivedAt = ticker.now()
-                    continue
-                }
-                sources.avoid(source, FAILURE_PAUSE)
+            val query = TransferQuery(self, listOfNotNull(base?.storeVersion), first.to, pieces.size)
+            val reply = query(source, query)
+            if (reply is TransferReply.Piece && reply.continues(first)) {
+                pieces += reply.bytes
+                arrivedAt = ticker.now()
+                continue
             }
-            source = sources.next(first.to - 1)
+            // A peer with newer rows that has nothing to send has skipped this version.
+            val skipped = reply == TransferReply.Nothing
+            sources.avoid(source, if (skipped) NOTHING_PAUSE else FAILURE_PAUSE)
+            source = awaitSource(first.to, arrivedAt, skipped) ?: return null
         }
-        val change = background.compute { ChangePieces.join(pieces, first.from, first.to, first.digest) }
-        val result = change?.let { background.compute { it.applyTo(base?.state) } }
+        return Received(base, pieces, source, startedAt)
+    }
+
+    /**
+     * The peer that may send a further piece of the version [to]; null when there is none for long after the last one
+     * [arrivedAt], or at once when the last peer has [skipped] this version, as a newer one arrives sooner.
+     */
+    private suspend fun awaitSource(to: Long, arrivedAt: Duration, skipped: Boolean): String? {
+        while (true) {
+            sources.next(to - 1)?.let { return it }
+            if (skipped || ticker.now() - arrivedAt > RESUME_TIMEOUT) return null
+            delay(BUSY_PAUSE)
+        }
+    }
+
+    private suspend fun decode(first: TransferReply.Piece, received: Received): Fetched? {
+        val peer = received.peer
+        val change = background.compute { ChangePieces.join(received.pieces, first.from, first.to, first.digest) }
+        val result = change?.let { background.compute { it.applyTo(received.base?.state) } }
+        val took = ticker.now() - received.startedAt
         if (result == null) {
-            log.failed(peer, "unreadable", ticker.now() - startedAt)
+            log.failed(peer, "unreadable", took)
             sources.avoid(peer, FAILURE_PAUSE)
             return null
         }
-        log.received(source ?: peer, change, pieces.sumOf { it.size }, ticker.now() - startedAt)
-        return Fetched(result, source ?: peer)
+        log.received(peer, change, received.pieces.sumOf { it.size }, took)
+        return Fetched(result, peer)
     }
 
     /** Whether this is a piece of the same change: a sender without the base sends pieces of a whole desired state. */
@@ -98,6 +120,14 @@
         return reply
     }
 
+    /** All [pieces] of a change from [base]; [peer] sent the last one. */
+    private class Received(
+        val base: Configuration?,
+        val pieces: List<ByteArray>,
+        val peer: String,
+        val startedAt: Duration,
+    )
+
     private companion object {
         /** A peer that did not reply is asked again after this time at the earliest. */
         val FAILURE_PAUSE = 300.milliseconds
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/configuration/ConfigurationFetcherSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/configuration/ConfigurationFetcherSpec.kt
@@ -156,6 +156,29 @@
             assertEquals(setOf(10L), replies.map { assertIs<TransferReply.Piece>(it).from }.toSet())
         }
 
+        /** Guards against an entry that waits for a version that its peers have skipped while they have a newer one. */
+        @Test
+        fun `takes a newer version when the only peer with the first one becomes silent`() = runTest {
+            val fetcher = fetcher()
+            val skipping = ConfigurationHistory().apply {
+                add(configuration(1, routes = 10))
+                add(configuration(3, routes = 2_100))
+            }
+            val ticker = Ticker { testScheduler.currentTime.milliseconds }
+            val admission = TransferAdmission(TransferSlots(2), { false }, ticker)
+            val other = ConfigurationSender(skipping, admission, { it() }, ticker, NoTransferLog)
+            disturbance = { peer, query ->
+                when {
+                    peer == "q" -> other.reply(query)
+                    query.index < 2 && asked.count { it.first == "p" } <= 2 -> senders.getValue(peer).reply(query)
+                    else -> null.also { delay(500.milliseconds) }
+                }
+            }
+            assertEquals(2_100, fetcher.fetch()?.configuration?.state?.routes?.size)
+            val tookMs = testScheduler.currentTime
+            assertTrue(tookMs < 2_000, "the newer version was complete after $tookMs ms")
+        }
+
         @Test
         fun `takes the whole when the peer has none of the own versions`() = runTest {
             own = ConfigurationHistory().apply { add(Configuration(configuration(1, routes = 3).state, 15)) }
