End a fetch whose version has arrived on another way

While a piece of a version was missing and no peer could send it, an entry waited up to 3 s for it even when the version, or a newer one, had arrived from the store meanwhile. It fetched no later version in that time. The wait now ends when the version is in force.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/ConfigurationFetcher.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/ConfigurationFetcher.kt
@@ -28,11 +28,11 @@
      * own arrived on another way meanwhile.
      */
     suspend fun fetch(): Fetched? {
-        val knownVersion = history.newest?.storeVersion ?: 0
+        val knownVersion = newestVersion()
         // All of them, since a peer may have skipped the newest one.
         var bases = history.storeVersions
         sources.clearReferrals()
-        while ((history.newest?.storeVersion ?: 0) == knownVersion) {
+        while (newestVersion() == knownVersion) {
             val peer = sources.next(knownVersion) ?: return null
             when (val reply = query(peer, TransferQuery(self, bases, 0, 0))) {
                 is TransferReply.Piece -> {
@@ -82,16 +82,20 @@
 
     /**
      * The peer that may send a further piece of the version [to]; null when there is none for long after the last one
-     * [arrivedAt], or at once when the last peer has [skipped] this version, as a newer one arrives sooner.
+     * [arrivedAt], at once when the last peer has [skipped] this version, as a newer one arrives sooner, and when it has
+     * arrived on another way.
      */
     private suspend fun awaitSource(to: Long, arrivedAt: Duration, skipped: Boolean): String? {
-        while (true) {
+        while (newestVersion() < to) {
             sources.next(to - 1)?.let { return it }
             if (skipped || ticker.now() - arrivedAt > RESUME_TIMEOUT) return null
             delay(BUSY_PAUSE)
         }
+        return null
     }
 
+    private fun newestVersion() = history.newest?.storeVersion ?: 0
+
     private suspend fun decode(first: TransferReply.Piece, received: Received): Fetched? {
         val peer = received.peer
         val change = background.compute { ChangePieces.join(received.pieces, first.from, first.to, first.digest) }
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/configuration/ConfigurationFetcherSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/configuration/ConfigurationFetcherSpec.kt
@@ -179,6 +179,24 @@
             assertTrue(tookMs < 2_000, "the newer version was complete after $tookMs ms")
         }
 
+        /** Guards against a fetch that delays the next one although its version has arrived on another way. */
+        @Test
+        fun `ends when its version arrives on another way while a piece is missing`() = runTest {
+            val fetcher = fetcher()
+            holders = listOf("p")
+            disturbance = { peer, query ->
+                if (query.index == 2) {
+                    newer.newest?.let(own::add)
+                    null
+                } else {
+                    senders.getValue(peer).reply(query)
+                }
+            }
+            assertNull(fetcher.fetch())
+            val tookMs = testScheduler.currentTime
+            assertTrue(tookMs < 500, "the fetch ended after $tookMs ms")
+        }
+
         @Test
         fun `takes the whole when the peer has none of the own versions`() = runTest {
             own = ConfigurationHistory().apply { add(Configuration(configuration(1, routes = 3).state, 15)) }
