Request a whole configuration that does not fit only a few times

An entry whose code makes another digest of a version than its peers, as during an upgrade, requested the whole of it again and again, from every peer once in 300 ms, for as long as its own version stayed the newest, which is for ever while the store is away. After two wholes that cannot be used it now leaves the version out for 10 s; a newer version is requested at once.

The spec failed before: 31 wholes in 10 s from two peers; the number grows with the peers.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/ConfigurationFetcher.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/ConfigurationFetcher.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.delay
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Fetches the newest desired state from peers, piece by piece. A piece that does not arrive in time is requested from
@@ -23,6 +24,11 @@
     private val ticker: Ticker,
     private val log: TransferLog,
 ) {
+    /** Version whose whole could not be used, and how many times that was so. */
+    private var unusable = 0L
+    private var unusableWholes = 0
+    private var unusableUntil = -Duration.INFINITE
+
     /**
      * Fetches the newest desired state that a peer offers; null when none has a newer one, or when a newer one than the
      * own arrived on another way meanwhile.
@@ -33,7 +39,7 @@
         var bases = history.storeVersions
         sources.clearReferrals()
         while (newestVersion() == knownVersion) {
-            val peer = sources.next(knownVersion) ?: return null
+            val peer = sources.next(maxOf(knownVersion, unusableVersion())) ?: return null
             when (val reply = query(peer, TransferQuery(self, bases, 0, 0))) {
                 is TransferReply.Piece -> {
                     val received = collect(peer, reply)
@@ -41,6 +47,7 @@
                         delay(NOTHING_PAUSE)
                     } else {
                         decode(reply, received)?.let { return it }
+                        if (reply.from == 0L) recordUnusable(reply.to)
                         // A change that does not fit is not requested again, since other peers may send the same.
                         bases = emptyList()
                         delay(BUSY_PAUSE)
@@ -94,6 +101,20 @@
         return null
     }
 
+    /**
+     * Records that the whole of [version] cannot be used. Other peers send the same, unless their code is another, so
+     * this entry asks for it only a few times.
+     */
+    private fun recordUnusable(version: Long) {
+        if (version != unusable) unusableWholes = 0
+        unusable = version
+        unusableWholes++
+        if (unusableWholes % MAX_UNUSABLE_WHOLES == 0) unusableUntil = ticker.now() + UNUSABLE_PAUSE
+    }
+
+    /** Version up to which this entry requests nothing now; 0 when it may request each. */
+    private fun unusableVersion() = if (ticker.now() < unusableUntil) unusable else 0
+
     private fun newestVersion() = history.newest?.storeVersion ?: 0
 
     private suspend fun decode(first: TransferReply.Piece, received: Received): Fetched? {
@@ -145,6 +166,10 @@
         /** Pause before a busy peer is asked again; the transfer of a few pieces takes about as long. */
         val BUSY_PAUSE = 40.milliseconds
 
+        /** Wholes that cannot be used after which their version is not requested for [UNUSABLE_PAUSE]. */
+        const val MAX_UNUSABLE_WHOLES = 2
+        val UNUSABLE_PAUSE = 10.seconds
+
         /** The jitter factor lies between this and 1.5. */
         const val MIN_JITTER = 0.5
     }
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/configuration/ConfigurationFetcherSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/configuration/ConfigurationFetcherSpec.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.withTimeoutOrNull
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -15,6 +16,7 @@
 import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 class ConfigurationFetcherSpec {
     private var own = ConfigurationHistory().apply { add(configuration(1, routes = 10)) }
@@ -25,6 +27,9 @@
     private val asked = ArrayList<Pair<String, TransferQuery>>()
     private var holders = listOf("p", "q")
 
+    /** Version that the holders announce. */
+    private var offeredVersion = Long.MAX_VALUE
+
     /** What a peer does instead of answering as it should. */
     private var disturbance: suspend (peer: String, query: TransferQuery) -> TransferReply? =
         { peer, query -> senders.getValue(peer).reply(query) }
@@ -43,7 +48,7 @@
                 delay(5.milliseconds)
                 disturbance(peer, query)
             },
-            TransferSources("self", { holders }, ticker),
+            TransferSources("self", { if (it < offeredVersion) holders else emptyList() }, ticker),
             own,
             { it() },
             SplitMix(1),
@@ -197,6 +202,50 @@
             assertTrue(tookMs < 500, "the fetch ended after $tookMs ms")
         }
 
+        /** Guards against links that carry a whole configuration again and again which the receiver cannot use. */
+        @Test
+        fun `requests a whole that does not fit only a few times`() = runTest {
+            val fetcher = fetcher()
+            offeredVersion = 20
+            disturbance = { peer, query ->
+                when (val reply = senders.getValue(peer).reply(query)) {
+                    is TransferReply.Piece ->
+                        TransferReply.Piece(reply.from, reply.to, reply.count, reply.digest + 1, reply.bytes)
+
+                    else -> reply
+                }
+            }
+            withTimeoutOrNull(10.seconds) {
+                while (true) {
+                    assertNull(fetcher.fetch())
+                    delay(50.milliseconds)
+                }
+            }
+            val wholes = asked.count { it.second.known.isEmpty() && it.second.index == 0 }
+            assertTrue(wholes <= 10, "$wholes wholes were requested in 10 s")
+        }
+
+        /** Guards against an entry that stays behind because it could not use an earlier version. */
+        @Test
+        fun `requests the version after one that does not fit at once`() = runTest {
+            val fetcher = fetcher()
+            offeredVersion = 20
+            disturbance = { peer, query ->
+                when (val reply = senders.getValue(peer).reply(query)) {
+                    is TransferReply.Piece ->
+                        TransferReply.Piece(reply.from, reply.to, reply.count, reply.digest + 1, reply.bytes)
+
+                    else -> reply
+                }
+            }
+            assertNull(fetcher.fetch())
+            delay(1.seconds)
+            disturbance = { peer, query -> senders.getValue(peer).reply(query) }
+            newer.add(configuration(3, routes = 2_100))
+            offeredVersion = 30
+            assertEquals(2_100, fetcher.fetch()?.configuration?.state?.routes?.size)
+        }
+
         @Test
         fun `takes the whole when the peer has none of the own versions`() = runTest {
             own = ConfigurationHistory().apply { add(Configuration(configuration(1, routes = 3).state, 15)) }
