--- a/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/ConfigurationFetcher.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/ConfigurationFetcher.kt
@@ -3,7 +3,9 @@
 import io.poplarwood.api.random.RandomSource
 import io.poplarwood.api.time.Ticker
 import kotlinx.coroutines.delay
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Fetches the newest desired state from peers, piece by piece. A piece that does not arrive in time is requested from
@@ -22,23 +24,34 @@
     private val ticker: Ticker,
     private val log: TransferLog,
 ) {
+    /** Version whose whole could not be used, and how many times that was so. */
+    private var unusable = 0L
+    private var unusableWholes = 0
+    private var unusableUntil = -Duration.INFINITE
+
     /**
      * Fetches the newest desired state that a peer offers; null when none has a newer one, or when a newer one than the
      * own arrived on another way meanwhile.
      */
     suspend fun fetch(): Fetched? {
-        val knownVersion = history.newest?.storeVersion ?: 0
+        val knownVersion = newestVersion()
         // All of them, since a peer may have skipped the newest one.
         var bases = history.storeVersions
         sources.clearReferrals()
-        while ((history.newest?.storeVersion ?: 0) == knownVersion) {
-            val peer = sources.next(knownVersion) ?: return null
+        while (newestVersion() == knownVersion) {
+            val peer = sources.next(maxOf(knownVersion, unusableVersion())) ?: return null
             when (val reply = query(peer, TransferQuery(self, bases, 0, 0))) {
                 is TransferReply.Piece -> {
-                    complete(peer, reply)?.let { return it }
-                    // A change that does not fit is not requested again, since other peers may send the same.
-                    bases = emptyList()
-                    delay(BUSY_PAUSE)
+                    val received = collect(peer, reply)
+                    if (received == null) {
+                        delay(NOTHING_PAUSE)
+                    } else {
+                        decode(reply, received)?.let { return it }
+                        if (reply.from == 0L) recordUnusable(reply.to)
+                        // A change that does not fit is not requested again, since other peers may send the same.
+                        bases = emptyList()
+                        delay(BUSY_PAUSE)
+                    }
                 }
                 is TransferReply.Busy -> {
                     if (!sources.refer(reply.holders)) delay(BUSY_PAUSE * (MIN_JITTER + random.nextDouble()))
@@ -50,38 +63,72 @@
         return null
     }
 
-    /** Fetches the pieces after the [first] one, which [peer] has sent, and applies them all. */
-    private suspend fun complete(peer: String, first: TransferReply.Piece): Fetched? {
+    /** Fetches the pieces after the [first] one, which [peer] has sent; null when no peer can send the others. */
+    private suspend fun collect(peer: String, first: TransferReply.Piece): Received? {
         val startedAt = ticker.now()
         val base = if (first.from == 0L) null else history[first.from] ?: return null
         val pieces = ArrayList<ByteArray>(first.count)
         pieces += first.bytes
-        var source: String? = peer
+        var source = peer
         var arrivedAt = startedAt
         while (pieces.size < first.count) {
-            if (source == null) {
-                if (ticker.now() - arrivedAt > RESUME_TIMEOUT) return null
-                delay(BUSY_PAUSE)
-            } else {
-                val reply = query(source, TransferQuery(self, listOfNotNull(base?.storeVersion), first.to, pieces.size))
-                if (reply is TransferReply.Piece && reply.continues(first)) {
-                    pieces += reply.bytes
-                    arrivedAt = ticker.now()
-                    continue
-                }
-                sources.avoid(source, FAILURE_PAUSE)
+            val query = TransferQuery(self, listOfNotNull(base?.storeVersion), first.to, pieces.size)
+            val reply = query(source, query)
+            if (reply is TransferReply.Piece && reply.continues(first)) {
+                pieces += reply.bytes
+                arrivedAt = ticker.now()
+                continue
             }
-            source = sources.next(first.to - 1)
+            // A peer with newer rows that has nothing to send has skipped this version.
+            val skipped = reply == TransferReply.Nothing
+            sources.avoid(source, if (skipped) NOTHING_PAUSE else FAILURE_PAUSE)
+            source = awaitSource(first.to, arrivedAt, skipped) ?: return null
         }
-        val change = background.compute { ChangePieces.join(pieces, first.from, first.to, first.digest) }
-        val result = change?.let { background.compute { it.applyTo(base?.state) } }
+        return Received(base, pieces, source, startedAt)
+    }
+
+    /**
+     * The peer that may send a further piece of the version [to]; null when there is none for long after the last one
+     * [arrivedAt], at once when the last peer has [skipped] this version, as a newer one arrives sooner, and when it has
+     * arrived on another way.
+     */
+    private suspend fun awaitSource(to: Long, arrivedAt: Duration, skipped: Boolean): String? {
+        while (newestVersion() < to) {
+            sources.next(to - 1)?.let { return it }
+            if (skipped || ticker.now() - arrivedAt > RESUME_TIMEOUT) return null
+            delay(BUSY_PAUSE)
+        }
+        return null
+    }
+
+    /**
+     * Records that the whole of [version] cannot be used. Other peers send the same, unless their code is another, so
+     * this entry asks for it only a few times.
+     */
+    private fun recordUnusable(version: Long) {
+        if (version != unusable) unusableWholes = 0
+        unusable = version
+        unusableWholes++
+        if (unusableWholes % MAX_UNUSABLE_WHOLES == 0) unusableUntil = ticker.now() + UNUSABLE_PAUSE
+    }
+
+    /** Version up to which this entry requests nothing now; 0 when it may request each. */
+    private fun unusableVersion() = if (ticker.now() < unusableUntil) unusable else 0
+
+    private fun newestVersion() = history.newest?.storeVersion ?: 0
+
+    private suspend fun decode(first: TransferReply.Piece, received: Received): Fetched? {
+        val peer = received.peer
+        val change = background.compute { ChangePieces.join(received.pieces, first.from, first.to, first.digest) }
+        val result = change?.let { background.compute { it.applyTo(received.base?.state) } }
+        val took = ticker.now() - received.startedAt
         if (result == null) {
-            log.failed(peer, "unreadable", ticker.now() - startedAt)
+            log.failed(peer, "unreadable", took)
             sources.avoid(peer, FAILURE_PAUSE)
             return null
         }
-        log.received(source ?: peer, change, pieces.sumOf { it.size }, ticker.now() - startedAt)
-        return Fetched(result, source ?: peer)
+        log.received(peer, change, received.pieces.sumOf { it.size }, took)
+        return Fetched(result, peer)
     }
 
     /** Whether this is a piece of the same change: a sender without the base sends pieces of a whole desired state. */
@@ -98,6 +145,14 @@
         return reply
     }
 
+    /** All [pieces] of a change from [base]; [peer] sent the last one. */
+    private class Received(
+        val base: Configuration?,
+        val pieces: List<ByteArray>,
+        val peer: String,
+        val startedAt: Duration,
+    )
+
     private companion object {
         /** A peer that did not reply is asked again after this time at the earliest. */
         val FAILURE_PAUSE = 300.milliseconds
@@ -111,6 +166,10 @@
         /** Pause before a busy peer is asked again; the transfer of a few pieces takes about as long. */
         val BUSY_PAUSE = 40.milliseconds
 
+        /** Wholes that cannot be used after which their version is not requested for [UNUSABLE_PAUSE]. */
+        const val MAX_UNUSABLE_WHOLES = 2
+        val UNUSABLE_PAUSE = 10.seconds
+
         /** The jitter factor lies between this and 1.5. */
         const val MIN_JITTER = 0.5
     }
