Send the load with heartbeats in parts of bounded size

Cause: a heartbeat named every upstream with requests of its sender. With ids of ten characters it had 9,266 bytes at 437 upstreams in use, 63,089 at 3,000 and 231,089 at 11,000: seven IP fragments at 437, and at more than about 3,000 no datagram at all, so that the heartbeat was lost with the versions and the sign of life in it.

Change: a datagram has at most 1,200 bytes, which every path carries in one packet. A heartbeat takes as much of the load as fits, up to four messages follow once all heartbeats have left, and the next heartbeats take turns with the rest. Each part is whole for a range of ids, so a part counts by itself and a lost one ends no request. Marks of leaving and limits come first, with every heartbeat. Receivers keep the ids that an entry reported, and no longer go through all upstreams for each heartbeat.

With up to about 70 upstreams in use a heartbeat stays one datagram. At 437 in use it is five, of about 5.5 KB, in place of one in seven fragments. Changes of load still go out after 3 and 20 ms; the parts repair what was lost.

During an upgrade, older entries count the new message as malformed and take no load from heartbeats of new ones, nor the reverse; they learn of load from updates.

Conclusion: the size of a heartbeat no longer depends on the upstreams.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/LoadGossip.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/LoadGossip.kt
@@ -6,6 +6,7 @@
 import io.poplarwood.gateway.upstream.LimitObservation
 import io.poplarwood.gateway.upstream.UpstreamRow
 import io.poplarwood.gateway.upstream.UpstreamTable
+import java.util.TreeSet
 import kotlin.math.ceil
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -16,6 +17,7 @@
  * upstream. Entries of the same zone receive updates sooner than those of other zones, since they share the upstreams
  * of their zone first.
  *
+ * @param self name of this entry
  * @param onNearPending called when the first update for the own zone is pending
  * @param onFarPending called when the first update for other zones is pending
  * @param onLeaving called for each upstream that another entry found to be draining; `born` is the start of the
@@ -23,6 +25,7 @@
  * @param onLimit called with the limit of an upstream that another entry observed
  */
 internal class LoadGossip(
+    self: String,
     private val upstreams: UpstreamTable,
     private val ticker: Ticker,
     onNearPending: () -> Unit,
@@ -32,7 +35,10 @@
 ) {
     private val near = PendingLoadUpdates(upstreams, onNearPending)
     private val far = PendingLoadUpdates(upstreams, onFarPending)
-    private val reporters = HashSet<EntryId>()
+    private val parts = LoadParts(self)
+
+    /** Ids of the upstreams at which each other entry has requests, as it reported. */
+    private val reported = HashMap<EntryId, TreeSet<String>>()
     private var nextLimitedIndex = 0
     private val requests = SlidingWindowCounter(RATE_WINDOW)
     private val burst = SlidingWindowCounter(BURST_WINDOW)
@@ -40,7 +46,7 @@
     /** Removes the in-flight counts that [entry] reported, after it became silent. */
     fun forget(entry: String) {
         val id = EntryId(entry)
-        if (reporters.remove(id)) upstreams.clearInFlightOf(id)
+        reported.remove(id)?.forEach { upstreams[it]?.setInFlightOf(id, 0) }
     }
 
     /** Counts a request that arrived at this entry. */
@@ -72,18 +78,20 @@
     fun drainOtherZones(): List<UpstreamLoad> = far.drain(ticker.now())
 
     /**
-     * Full state: all in-flight requests of this entry at upstreams, the draining upstreams and, in rotation, upstreams
-     * with a limit.
+     * What a heartbeat reports: requests of this entry at upstreams, as many as fit, the draining upstreams and, in
+     * rotation, upstreams with a limit.
+     *
+     * @param heartbeatRoom bytes that the heartbeat has left
      */
-    fun fullState(): List<UpstreamLoad> {
+    fun heartbeatLoad(heartbeatRoom: Int): HeartbeatLoad {
         val now = ticker.now()
         val (leaving, others) = upstreams.all.partition { it.availability.announcedDraining }
         val limited = nextLimited(others.filter { it.limit.current != null })
-        val reported = others.filter { it.ownInFlight > 0 || it in limited } + leaving.takeLast(MAX_LEAVING)
-        return reported.map {
+        val notices = (limited + leaving.takeLast(MAX_LEAVING)).map {
             val limit = if (it in limited) LimitUpdate.of(it, now) else null
             UpstreamLoad(it.id, it.ownInFlight, 0, it.drainingIncarnation, limit)
         }
+        return parts.next(upstreams.all.filter { it.ownInFlight > 0 }, notices, heartbeatRoom)
     }
 
     private fun nextLimited(rows: List<UpstreamRow>): Set<UpstreamRow> {
@@ -93,24 +101,35 @@
         return List(MAX_LIMITED) { rows[(start + it) % rows.size] }.toSet()
     }
 
-    /**
-     * Merges the load that [entry] reported. With [isFullState], the entry has no requests at upstreams that are not
-     * listed.
-     */
-    fun receive(entry: String, load: List<UpstreamLoad>, isFullState: Boolean) {
+    /** Merges changes of the [load] that [entry] reported. */
+    fun receive(entry: String, load: List<UpstreamLoad>) {
         val id = EntryId(entry)
         val now = ticker.now()
-        if (isFullState && reporters.remove(id)) upstreams.clearInFlightOf(id)
-        if (load.isNotEmpty()) reporters += id
         for (update in load) {
             update.leavingBorn?.let { onLeaving(update.upstream, it, entry) }
+            setInFlight(id, update.upstream, update.inFlight)
             val row = upstreams[update.upstream] ?: continue
-            row.setInFlightOf(id, update.inFlight)
             update.limit?.takeIf { it.born == row.record.startMs }?.let { receiveLimit(row, id, it, now) }
             if (update.slowness > 0) row.recordSlowness(update.slowness / PERCENT, now)
         }
     }
 
+    /** Merges a [part] of the load that [entry] reported: it has no requests at others that the part is whole for. */
+    fun receive(entry: String, part: LoadPart) {
+        val id = EntryId(entry)
+        val through = part.through
+        val covered = reported[id]?.tailSet(part.after, false)?.takeWhile { through == null || it <= through }.orEmpty()
+        for (upstream in covered) if (upstream !in part.inFlight) setInFlight(id, upstream, 0)
+        for ((upstream, count) in part.inFlight) setInFlight(id, upstream, count)
+        receive(entry, part.notices)
+    }
+
+    private fun setInFlight(entry: EntryId, upstream: String, count: Int) {
+        upstreams[upstream]?.setInFlightOf(entry, count)
+        val ids = reported.getOrPut(entry) { TreeSet() }
+        if (count > 0) ids += upstream else ids -= upstream
+    }
+
     private fun receiveLimit(row: UpstreamRow, entry: EntryId, update: LimitUpdate, now: Duration) {
         row.recentSends.report(entry, update.recentSends, now)
         onLimit(row, update.toObservation(now), entry.value)
@@ -126,9 +145,7 @@
         val BURST_WINDOW = 1.seconds
         const val PERCENT = 100.0
 
-        /**
-         * As many draining upstreams as fit into a heartbeat; for others the change of their registration follows soon.
-         */
+        /** Draining upstreams per heartbeat; for others the change of their registration follows soon. */
         const val MAX_LEAVING = 24
 
         /** Upstreams with a limit per heartbeat. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
@@ -126,13 +126,24 @@
         heartbeatDue = false
         announcedVersions = versions()
         readingAnnounced = readingSince != null
-        for (batch in schedule.due()) {
-            val load = if (batch.withLoad) loadGossip.fullState() else null
-            send(heartbeat(now, batch.period, load), batch.recipients)
+        // All heartbeats leave before the rest of the load, so that the load delays none of them.
+        val rest = schedule.due().map { batch -> batch to sendHeartbeat(batch, now) }
+        for ((batch, parts) in rest) parts.forEach { send(PeerMessage.LoadState(self, it), batch.recipients) }
+    }
+
+    /** Sends a heartbeat; returns the load that did not fit. */
+    private fun sendHeartbeat(batch: Heartbeats, now: Duration): List<LoadPart> {
+        val heartbeat = heartbeat(now, batch.period)
+        if (!batch.withLoad) {
+            send(heartbeat, batch.recipients)
+            return emptyList()
         }
+        val load = loadGossip.heartbeatLoad(DatagramSize.MAX_BYTES - DatagramSize.of(heartbeat))
+        send(heartbeat.copy(load = load.inside), batch.recipients)
+        return load.separate
     }
 
-    private fun heartbeat(now: Duration, period: Duration, load: List<UpstreamLoad>?) = PeerMessage.Hello(
+    private fun heartbeat(now: Duration, period: Duration) = PeerMessage.Hello(
         from = self,
         zone = record.zone,
         callers = record.callers,
@@ -154,7 +165,6 @@
         crashes = crashGossip.digest,
         readingMs = readingSince?.let { maxOf((now - it).inWholeMilliseconds, 1) } ?: 0,
         everyMs = period.inWholeMilliseconds.toInt(),
-        load = load,
     )
 
     /** Sends load [updates] to the active peers of the own zone ([near]) or to those of other zones. */
@@ -194,7 +204,8 @@
     fun receive(message: PeerMessage) {
         when (message) {
             is PeerMessage.Hello -> receiveHello(message)
-            is PeerMessage.LoadUpdate -> loadGossip.receive(message.from, message.load, isFullState = false)
+            is PeerMessage.LoadUpdate -> loadGossip.receive(message.from, message.load)
+            is PeerMessage.LoadState -> loadGossip.receive(message.from, message.part)
             is PeerMessage.UpstreamUpdate -> receiveUpstreams(message)
             is PeerMessage.CrashUpdate -> crashGossip.receive(message)
             is PeerMessage.PermitMessage -> onPermitMessage(message)
@@ -209,12 +220,12 @@
         val isNew = table.onHeartbeat(hello, ticker.now())
         if (isNew) log.log(GatewayEvent.PEER_SEEN, hello.from, hello.callers)
         if (hello.stopping && !wasStopping) log.log(GatewayEvent.PEER_LEAVING, hello.from)
-        hello.load?.let { loadGossip.receive(hello.from, it, isFullState = true) }
+        hello.load?.let { loadGossip.receive(hello.from, it) }
         compareVersions(hello)
         crashGossip.sendIfDifferent(hello.crashes, hello.peers)
         if (hello.active && !wasActive) handleNewlyActive(hello)
         // An entry that has just started learns at once about this entry and its versions.
-        if (isNew && roles.active) send(heartbeat(ticker.now(), HeartbeatPlan.ACTIVE_PERIOD, null), listOf(hello.peers))
+        if (isNew && roles.active) send(heartbeat(ticker.now(), HeartbeatPlan.ACTIVE_PERIOD), listOf(hello.peers))
     }
 
     /** Compares the store versions of the sender with the own ones: requests newer rows or confirms the own ones. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
@@ -41,7 +41,8 @@
      * @property crashes digest of the crash records that the sender has
      * @property readingMs time for which a newer desired state has been arriving at the sender from the store, in
      * milliseconds; 0 while none is
-     * @property load in-flight requests of the sender at upstreams; null where the receiver takes no requests
+     * @property load the first part of the load that comes with this heartbeat; null where the receiver takes no
+     * requests, or where the heartbeat has no room for it
      */
     @Serializable
     @SerialName("h")
@@ -67,7 +68,15 @@
         @SerialName("i") val everyMs: Int = INITIAL_INTERVAL_MS,
         @SerialName("k") val crashes: Long = 0,
         @SerialName("rm") val readingMs: Long = 0,
-        @SerialName("l") val load: List<UpstreamLoad>? = null,
+        @SerialName("lp") val load: LoadPart? = null,
+    ) : PeerMessage
+
+    /** A further part of the load that comes with a heartbeat. */
+    @Serializable
+    @SerialName("lp")
+    data class LoadState(
+        @SerialName("f") override val from: String,
+        @SerialName("l") val part: LoadPart,
     ) : PeerMessage
 
     /** Changes of the load of upstreams since the last update. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/PeerServices.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/PeerServices.kt
@@ -44,6 +44,7 @@
         onMessage,
     )
     val loadGossip: LoadGossip = LoadGossip(
+        settings.entry,
         state.upstreams,
         ticker,
         { runtime.schedule(ZONE_UPDATE_DELAY) { sendLoad(near = true) } },
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/UpstreamTable.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/UpstreamTable.kt
@@ -1,6 +1,5 @@
 package io.poplarwood.gateway.upstream
 
-import io.poplarwood.api.id.EntryId
 import io.poplarwood.api.id.ServiceName
 import kotlin.time.Duration
 
@@ -52,9 +51,6 @@
         return row
     }
 
-    /** Discards the in-flight counts reported by [entry]. */
-    fun clearInFlightOf(entry: EntryId) = rows.values.forEach { it.setInFlightOf(entry, 0) }
-
     private fun Upstream.isSameIncarnation(other: Upstream) =
         startMs == other.startMs && address == other.address && service == other.service
 }
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/PeerSocketSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/PeerSocketSpec.kt
@@ -31,10 +31,10 @@
     fun `a heartbeat that names hundreds of upstreams arrives whole`() {
         val address = freeAddress()
         socket(address)
-        val load = List(UPSTREAMS) { UpstreamLoad("i-${"%010x".format(it)}", 3, 100) }
+        val load = LoadPart(inFlight = List(UPSTREAMS) { "i-${"%010x".format(it)}" to 3 }.toMap())
         socket(freeAddress()).send(hello("a").copy(load = load), listOf(address))
         val message = received.poll(2, TimeUnit.SECONDS) as? PeerMessage.Hello
-        assertEquals(UPSTREAMS, message?.load?.size)
+        assertEquals(UPSTREAMS, message?.load?.inFlight?.size)
     }
 
     private companion object {
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedCluster.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedCluster.kt
@@ -67,6 +67,9 @@
     var heartbeats = 0L
         private set
 
+    /** Called with each message and the number of its receivers. */
+    var onSend: (message: PeerMessage, receivers: Int) -> Unit = { _, _ -> }
+
     private val byName = LinkedHashMap<String, Entry>()
 
     /** The current incarnations of all entries. */
@@ -111,6 +114,7 @@
     }
 
     private fun send(from: String, message: PeerMessage, to: List<String>) {
+        onSend(message, to.size)
         for (address in to) {
             datagrams++
             if (message is PeerMessage.Hello) heartbeats++
@@ -188,6 +192,7 @@
         init {
             peers.requestSync = exchange::scheduleSync
             peers.loadGossip = LoadGossip(
+                name,
                 upstreams,
                 ticker,
                 { after(3.milliseconds) { peers.sendLoadUpdates(peers.loadGossip.drainOwnZone(), near = true) } },
