Bound the datagrams of load and registration updates

Cause: an update named every upstream whose load had changed since the last one, and every registration that was removed: 9,193, 63,016 and 231,016 bytes for the load of 437, 3,000 and 11,000 upstreams, 230,021 bytes for 10,000 removals. From about 3,000 rows on there is no such datagram, and the row waited for the next heartbeat.

Change: updates of load are split into datagrams of at most 1,200 bytes, at most 400 rows at a time, the oldest first; the rest goes out after the same delay again. An update of registrations is split at versions into at most four datagrams; each names the version at which the one before ends, so a receiver that missed one does not advance beyond the gap and requests the rest after the next heartbeat. Rows of one transaction stay together. Larger changes are announced with a heartbeat and requested in pages, as changed values of more than 1,000 bytes were before.

UpstreamUpdatePartsSpec is for code that is new.

Conclusion: no datagram of load or registrations grows with the upstreams.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/DatagramSize.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/DatagramSize.kt
@@ -13,10 +13,10 @@
 
     private const val HEARTBEAT_BYTES = 180
     private const val PART_BYTES = 20
-    private const val LOAD_BYTES = 22
+    private const val LOAD_BYTES = 9
     private const val LEAVING_BYTES = 11
     private const val LIMIT_BYTES = 64
-    private const val ROW_BYTES = 24
+    private const val ROW_BYTES = 13
 
     /** CBOR writes a number, or the length of a text, below the first of these in one byte, and so on. */
     private const val ONE_BYTE_END = 24
@@ -31,11 +31,15 @@
         return ofNumber(bytes) + bytes
     }
 
-    private fun ofNumber(number: Int): Int = when {
+    private fun ofNumber(number: Int): Int = ofNumber(number.toLong())
+
+    private fun ofNumber(number: Long): Int = when {
+        number < 0 -> 9
         number < ONE_BYTE_END -> 1
         number < TWO_BYTES_END -> 2
         number < THREE_BYTES_END -> 3
-        else -> 5
+        number <= Int.MAX_VALUE -> 5
+        else -> 9
     }
 
     /** Size of [upstream] and the number of requests at it. */
@@ -43,10 +47,11 @@
 
     fun of(load: UpstreamLoad): Int {
         val leaving = if (load.leavingBorn != null) LEAVING_BYTES else 0
-        return LOAD_BYTES + of(load.upstream) + leaving + if (load.limit != null) LIMIT_BYTES else 0
+        val numbers = ofNumber(load.inFlight) + ofNumber(load.slowness)
+        return LOAD_BYTES + numbers + of(load.upstream) + leaving + if (load.limit != null) LIMIT_BYTES else 0
     }
 
-    fun of(row: ReplicatedRow): Int = ROW_BYTES + of(row.key) + (row.value?.size ?: 0)
+    fun of(row: ReplicatedRow): Int = ROW_BYTES + ofNumber(row.version) + of(row.key) + (row.value?.size ?: 0)
 
     /** Size of [hello] without its load. */
     fun of(hello: PeerMessage.Hello): Int {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
@@ -37,6 +37,7 @@
     private val pump: () -> Unit,
 ) : FollowCoordinator {
     private val startedAt = ticker.now()
+    private val updateParts = UpstreamUpdateParts(self)
     private val schedule = HeartbeatPlan(record.zone, table, roles)
 
     /** Exchange of the requests that upstreams ended under. */
@@ -171,7 +172,9 @@
     fun sendLoadUpdates(updates: List<UpstreamLoad>, near: Boolean) {
         if (updates.isEmpty()) return
         val recipients = table.active.filter { (it.record.zone == record.zone) == near }
-        send(PeerMessage.LoadUpdate(self, updates), recipients.map { it.record.peers })
+        for (part in DatagramSize.split(updates, DatagramSize.roomIn(self), DatagramSize::of)) {
+            send(PeerMessage.LoadUpdate(self, part), recipients.map { it.record.peers })
+        }
     }
 
     override fun mode(topic: Topic): FollowMode {
@@ -195,9 +198,9 @@
     override fun version(topic: Topic): Long = if (topic == Topic.UPSTREAMS) book.coveredVersion else book.stateVersion
 
     override fun rowsChanged(topic: Topic, rows: RowSnapshot, after: Long) {
-        val update = rows.rows.map(ReplicatedRow::of)
-        if (topic != Topic.UPSTREAMS || update.sumOf { it.value?.size ?: 0 } > MAX_UPDATE_BYTES) return sendHeartbeats()
-        send(PeerMessage.UpstreamUpdate(self, after, update), table.live.map { it.record.peers })
+        val parts = if (topic == Topic.UPSTREAMS) updateParts.of(rows, after) else null
+        if (parts == null) return sendHeartbeats()
+        for (part in parts) send(part, table.live.map { it.record.peers })
     }
 
     /** Merges a message of another entry. */
@@ -277,8 +280,5 @@
 
         /** A store that did not answer any entry for this long counts as unavailable to all. */
         val LATELY = 1.seconds
-
-        /** A larger datagram may be fragmented or dropped on the path. */
-        const val MAX_UPDATE_BYTES = 1_000
     }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PendingLoadUpdates.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PendingLoadUpdates.kt
@@ -19,14 +19,24 @@
         if (first) onPending()
     }
 
-    /** Returns and removes the updates collected since the last call. */
+    /**
+     * Returns and removes the updates collected since the last call, the oldest [MAX_UPDATES] of them; the others stay
+     * pending and are announced again.
+     */
     fun drain(now: Duration): List<UpstreamLoad> {
-        val updates = pending.map { (id, slowness) ->
+        val drained = pending.entries.take(MAX_UPDATES).map { it.toPair() }
+        val updates = drained.map { (id, slowness) ->
             val row = upstreams[id]
             val limit = row?.let { LimitUpdate.of(it, now) }
             UpstreamLoad(id, row?.ownInFlight ?: 0, slowness, row?.drainingIncarnation, limit)
         }
-        pending.clear()
+        drained.forEach { (id, _) -> pending.remove(id) }
+        if (pending.isNotEmpty()) onPending()
         return updates
     }
+
+    private companion object {
+        /** About eight datagrams; more of them at once would fill the queue of a narrow link. */
+        const val MAX_UPDATES = 400
+    }
 }
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/DatagramSizesSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/DatagramSizesSpec.kt
@@ -133,7 +133,61 @@
         fun `of 11,000 upstreams in use is bounded and tells all in turn`() = check(11_000, 12.seconds)
     }
 
+    @Nested
+    inner class `an update of load` {
+        /** Guards against updates that are lost because they name thousands of upstreams at once. */
+        private fun check(upstreams: Int, bound: Duration) = runTest {
+            val cluster = cluster(upstreams)
+            val sender = cluster.active().first()
+            for (row in sender.upstreams.all) {
+                row.ownInFlight = 3
+                sender.peers.loadGossip.scheduleUpdate(row)
+            }
+            val others = cluster.active() - sender
+            val took = timeUntil { others.all { it.total() == 3 * upstreams } }
+            print("updates of load, all upstreams", upstreams, took)
+            assertTrue(took <= bound, "took $took")
+            assertTrue(largest() <= MAX_BYTES, "${largest()} bytes")
+            backgroundScope.coroutineContext.cancelChildren()
+        }
+
+        @Test
+        fun `of 437 upstreams is bounded`() = check(437, 60.milliseconds)
+
+        @Test
+        fun `of 3,000 upstreams is bounded`() = check(3_000, 200.milliseconds)
+
+        @Test
+        fun `of 11,000 upstreams is bounded`() = check(11_000, 700.milliseconds)
+    }
+
+    @Nested
+    inner class `an update of registrations` {
+        /** Guards against updates that are lost because many registrations were removed at once. */
+        private fun check(removed: Int, lost: Double) = runTest {
+            val cluster = cluster(MANY)
+            sizes.clear()
+            cluster.loss = lost
+            for (index in 0 until removed) store.put(Topic.UPSTREAMS, id(index), null)
+            val took = timeUntil { cluster.entries.all { it.upstreams.all.size == MANY - removed } }
+            print("$removed registrations removed, $lost of datagrams lost", MANY, took)
+            assertTrue(took <= 2.seconds, "took $took")
+            assertTrue(largest() <= MAX_BYTES, "${largest()} bytes")
+            backgroundScope.coroutineContext.cancelChildren()
+        }
+
+        @Test
+        fun `is bounded when a hundred are removed`() = check(100, 0.0)
+
+        @Test
+        fun `is bounded when most are removed`() = check(10_000, 0.0)
+
+        @Test
+        fun `leaves no entry behind when parts are lost`() = check(100, 0.3)
+    }
+
     private companion object {
+        const val MANY = 11_000
         const val PER_ZONE = 3
         const val STRIDE = 390_001
         const val MAX_WAIT_MS = 20_000
