--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
@@ -37,6 +37,7 @@
     private val pump: () -> Unit,
 ) : FollowCoordinator {
     private val startedAt = ticker.now()
+    private val updateParts = UpstreamUpdateParts(self)
     private val schedule = HeartbeatPlan(record.zone, table, roles)
 
     /** Exchange of the requests that upstreams ended under. */
@@ -126,13 +127,24 @@
         heartbeatDue = false
         announcedVersions = versions()
         readingAnnounced = readingSince != null
-        for (batch in schedule.due()) {
-            val load = if (batch.withLoad) loadGossip.fullState() else null
-            send(heartbeat(now, batch.period, load), batch.recipients)
+        // All heartbeats leave before the rest of the load, so that the load delays none of them.
+        val rest = schedule.due().map { batch -> batch to sendHeartbeat(batch, now) }
+        for ((batch, parts) in rest) parts.forEach { send(PeerMessage.LoadState(self, it), batch.recipients) }
+    }
+
+    /** Sends a heartbeat; returns the load that did not fit. */
+    private fun sendHeartbeat(batch: Heartbeats, now: Duration): List<LoadPart> {
+        val heartbeat = heartbeat(now, batch.period)
+        if (!batch.withLoad) {
+            send(heartbeat, batch.recipients)
+            return emptyList()
         }
+        val load = loadGossip.heartbeatLoad(DatagramSize.MAX_BYTES - DatagramSize.of(heartbeat))
+        send(heartbeat.copy(load = load.inside), batch.recipients)
+        return load.separate
     }
 
-    private fun heartbeat(now: Duration, period: Duration, load: List<UpstreamLoad>?) = PeerMessage.Hello(
+    private fun heartbeat(now: Duration, period: Duration) = PeerMessage.Hello(
         from = self,
         zone = record.zone,
         callers = record.callers,
@@ -154,14 +166,15 @@
         crashes = crashGossip.digest,
         readingMs = readingSince?.let { maxOf((now - it).inWholeMilliseconds, 1) } ?: 0,
         everyMs = period.inWholeMilliseconds.toInt(),
-        load = load,
     )
 
     /** Sends load [updates] to the active peers of the own zone ([near]) or to those of other zones. */
     fun sendLoadUpdates(updates: List<UpstreamLoad>, near: Boolean) {
         if (updates.isEmpty()) return
         val recipients = table.active.filter { (it.record.zone == record.zone) == near }
-        send(PeerMessage.LoadUpdate(self, updates), recipients.map { it.record.peers })
+        for (part in DatagramSize.split(updates, DatagramSize.roomIn(self), DatagramSize::of)) {
+            send(PeerMessage.LoadUpdate(self, part), recipients.map { it.record.peers })
+        }
     }
 
     override fun mode(topic: Topic): FollowMode {
@@ -185,16 +198,17 @@
     override fun version(topic: Topic): Long = if (topic == Topic.UPSTREAMS) book.coveredVersion else book.stateVersion
 
     override fun rowsChanged(topic: Topic, rows: RowSnapshot, after: Long) {
-        val update = rows.rows.map(ReplicatedRow::of)
-        if (topic != Topic.UPSTREAMS || update.sumOf { it.value?.size ?: 0 } > MAX_UPDATE_BYTES) return sendHeartbeats()
-        send(PeerMessage.UpstreamUpdate(self, after, update), table.live.map { it.record.peers })
+        val parts = if (topic == Topic.UPSTREAMS) updateParts.of(rows, after) else null
+        if (parts == null) return sendHeartbeats()
+        for (part in parts) send(part, table.live.map { it.record.peers })
     }
 
     /** Merges a message of another entry. */
     fun receive(message: PeerMessage) {
         when (message) {
             is PeerMessage.Hello -> receiveHello(message)
-            is PeerMessage.LoadUpdate -> loadGossip.receive(message.from, message.load, isFullState = false)
+            is PeerMessage.LoadUpdate -> loadGossip.receive(message.from, message.load)
+            is PeerMessage.LoadState -> loadGossip.receive(message.from, message.part)
             is PeerMessage.UpstreamUpdate -> receiveUpstreams(message)
             is PeerMessage.CrashUpdate -> crashGossip.receive(message)
             is PeerMessage.PermitMessage -> onPermitMessage(message)
@@ -209,12 +223,12 @@
         val isNew = table.onHeartbeat(hello, ticker.now())
         if (isNew) log.log(GatewayEvent.PEER_SEEN, hello.from, hello.callers)
         if (hello.stopping && !wasStopping) log.log(GatewayEvent.PEER_LEAVING, hello.from)
-        hello.load?.let { loadGossip.receive(hello.from, it, isFullState = true) }
+        hello.load?.let { loadGossip.receive(hello.from, it) }
         compareVersions(hello)
         crashGossip.sendIfDifferent(hello.crashes, hello.peers)
         if (hello.active && !wasActive) handleNewlyActive(hello)
         // An entry that has just started learns at once about this entry and its versions.
-        if (isNew && roles.active) send(heartbeat(ticker.now(), HeartbeatPlan.ACTIVE_PERIOD, null), listOf(hello.peers))
+        if (isNew && roles.active) send(heartbeat(ticker.now(), HeartbeatPlan.ACTIVE_PERIOD), listOf(hello.peers))
     }
 
     /** Compares the store versions of the sender with the own ones: requests newer rows or confirms the own ones. */
@@ -266,8 +280,5 @@
 
         /** A store that did not answer any entry for this long counts as unavailable to all. */
         val LATELY = 1.seconds
-
-        /** A larger datagram may be fragmented or dropped on the path. */
-        const val MAX_UPDATE_BYTES = 1_000
     }
 }
