Don't count an answer that finds no memory against its upstream

Cause: UpstreamConnection ended an answer as garbled when the memory for answers was full. That counted as a loss of the upstream, which two such answers ejected, and an idempotent request was sent again at once.

Change: the attempt ends with its own cause, no_memory. It changes neither the availability nor the failure rate of the upstream, and is no loss under the request's fingerprint. The request ends with 502 (it may have run) and the outcome no-memory. It is not sent again, also where its route allows it: a further run costs an upstream as much as the first, and its answer most likely finds the memory full too. A second attempt that still runs may answer it.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/explain/Cause.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/explain/Cause.kt
@@ -25,6 +25,8 @@
         Outcome.CRASHES to "Three upstreams were lost while they ran this request; it is not sent to a fourth.",
         Outcome.EXPIRED to "Its time ended while it waited for a slot.",
         Outcome.LOST to "An upstream had it and the connection ended without a whole answer; it may have run.",
+        Outcome.NO_MEMORY to
+            "An upstream answered, but the entry's memory for answers was full (PW-6210); the request may have run.",
         Outcome.TIMED_OUT to "An upstream had it and did not answer in time; it may have run.",
         Outcome.FAILED to "The entry failed; PW-6007 near it has the error.",
         Outcome.CALLER_LEFT to "The caller ended its connection first.",
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/AttemptResult.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/AttemptResult.kt
@@ -42,4 +42,7 @@
 
     /** The bytes are no valid response, not one that the upstream itself generated, or more than may be buffered. */
     GARBLED,
+
+    /** This entry had no memory left for the response; the upstream did nothing wrong. */
+    NO_MEMORY,
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnection.kt
@@ -122,7 +122,8 @@
             skippedBytes += bytes
             if (skippedBytes > MAX_SKIPPED_BYTES) return fail(LossCause.GARBLED)
         } else {
-            if (body.size + bytes > MAX_RESPONSE_BYTES || !memory.tryReserve(bytes)) return fail(LossCause.GARBLED)
+            if (body.size + bytes > MAX_RESPONSE_BYTES) return fail(LossCause.GARBLED)
+            if (!memory.tryReserve(bytes)) return fail(LossCause.NO_MEMORY)
             reservedBytes += bytes
             body.append(content.content())
         }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
@@ -195,6 +195,13 @@
         "key",
         "detail",
     ),
+    ANSWERS_DROPPED(
+        6210,
+        Level.WARN,
+        "answers of upstreams were dropped because the memory for answers was full",
+        "count",
+        "limitBytes",
+    ),
     PEER_SEEN(6401, Level.INFO, "another entry was discovered", "peer", "address"),
     PEER_SILENT(6402, Level.WARN, "another entry is silent", "peer", "silentMs"),
     PEER_LEAVING(6403, Level.INFO, "another entry is stopping", "peer"),
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/GatewayMetrics.kt
@@ -18,6 +18,10 @@
     private val requests = counter("poplarwood_gateway_requests", "Requests by how they ended.", "outcome")
     private val retries = counter("poplarwood_gateway_repeats", "Further attempts by reason.", "reason")
     private val connections = counter("poplarwood_gateway_upstream_connections", "Connections opened to upstreams.")
+    private val droppedAnswers = counter(
+        "poplarwood_gateway_dropped_answers",
+        "Answers of upstreams that were dropped because the memory for answers was full.",
+    )
     private val probes = counter("poplarwood_gateway_probes", "Questions to upstreams for their load.")
     private val permits =
         counter(
@@ -80,6 +84,9 @@
     /** Counts a connection opened to an upstream. */
     fun connectionOpened() = connections.inc()
 
+    /** Counts an answer of an upstream that was dropped because the memory for answers was full. */
+    fun answerDropped() = droppedAnswers.inc()
+
     /** Counts a load probe of an upstream. */
     fun probeSent() = probes.inc()
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Attempt.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Attempt.kt
@@ -1,6 +1,7 @@
 package io.poplarwood.gateway.runtime
 
 import io.poplarwood.gateway.http.AttemptResult
+import io.poplarwood.gateway.http.LossCause
 import io.poplarwood.gateway.upstream.AvailabilityState
 import io.poplarwood.gateway.upstream.UpstreamRow
 import kotlin.time.Duration
@@ -23,6 +24,10 @@
     /** Requests in flight at the upstream when this attempt was sent, including this one. */
     val inFlightAtStart: Int = row.inFlight
 
+    /** Whether the result may be due to the loss of the upstream, and not to a lack of memory at this entry. */
+    val mayHaveLostUpstream: Boolean
+        get() = (result as? AttemptResult.Lost)?.let { it.cause != LossCause.NO_MEMORY } ?: false
+
     /** The attempt as one word of the `trail` log field. */
     fun describe(): String {
         val took = endedAt?.let { "+${(it - sentAt).inWholeMilliseconds}ms" } ?: ""
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/AttemptFeedback.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/AttemptFeedback.kt
@@ -21,6 +21,7 @@
     private val crashes: CrashDetector,
     private val availability: AvailabilityTracker,
     private val log: EventLog,
+    private val droppedAnswers: DroppedAnswers,
 ) {
     /** Records the result of [attempt], which belongs to a request with [fingerprint]. */
     fun record(attempt: Attempt, route: Route, fingerprint: Long) {
@@ -29,10 +30,7 @@
         when (val result = attempt.result) {
             is AttemptResult.Answered -> onAnswered(attempt, result, route, fingerprint, now)
             is AttemptResult.NotExecuted -> onNotExecuted(attempt, result, now)
-            is AttemptResult.Lost -> {
-                updateSuspicion(attempt, now) { recordLoss(row, now) }
-                if (result.cause != LossCause.GARBLED) crashes.linkLost(row, fingerprint, attempt.lossWindowStart, now)
-            }
+            is AttemptResult.Lost -> onLost(attempt, result.cause, fingerprint, now)
             AttemptResult.NotSent -> {
                 updateSuspicion(attempt, now) { recordLoss(row, now) }
                 crashes.connectFailed(row, now)
@@ -41,6 +39,13 @@
         }
     }
 
+    private fun onLost(attempt: Attempt, cause: LossCause, fingerprint: Long, now: Duration) {
+        // Says nothing about the upstream, good or bad.
+        if (cause == LossCause.NO_MEMORY) return droppedAnswers.record(now)
+        updateSuspicion(attempt, now) { recordLoss(attempt.row, now) }
+        if (cause != LossCause.GARBLED) crashes.linkLost(attempt.row, fingerprint, attempt.lossWindowStart, now)
+    }
+
     private inline fun updateSuspicion(attempt: Attempt, now: Duration, change: OutcomeRecorder.() -> Unit) =
         availability.trackChange(attempt.row, attempt.describeResult(), AvailabilityTracker.SOURCE_SELF, now) {
             decisions.suspicion.change()
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Outcome.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Outcome.kt
@@ -25,6 +25,7 @@
     CRASHES("crashes", 503, GatewayEvent.REFUSED),
     EXPIRED("expired", 503, GatewayEvent.REFUSED),
     LOST("lost", 502, GatewayEvent.UNKNOWN),
+    NO_MEMORY("no-memory", 502, GatewayEvent.UNKNOWN),
     TIMED_OUT("timed-out", 504, GatewayEvent.UNKNOWN),
     FAILED("failed", 500, GatewayEvent.UNKNOWN),
     CALLER_LEFT("caller-left", 0, GatewayEvent.LEFT),
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
@@ -7,6 +7,7 @@
 import io.poplarwood.gateway.decision.crash.CrashVerdict
 import io.poplarwood.gateway.http.AttemptResult
 import io.poplarwood.gateway.http.CallerRequest
+import io.poplarwood.gateway.http.LossCause
 import io.poplarwood.gateway.http.NotExecutedCause
 import io.poplarwood.gateway.http.UpstreamRequest
 import io.poplarwood.gateway.metrics.RetryReason
@@ -140,13 +141,17 @@
                 connectFailures++
                 retry(RetryReason.NOT_SENT) ?: ifNothingRuns { evidence.refuse(Outcome.NOT_SENT, DEFAULT_RETRY_AFTER) }
             }
-            is AttemptResult.Lost -> {
-                evidence.mayHaveRun = true
-                val retried = if (route.kind.retryable) retry(RetryReason.LOST) else null
-                retried ?: ifNothingRuns { evidence.uncertain(Outcome.LOST) }
-            }
+            is AttemptResult.Lost -> onLost(result)
         }
 
+    private suspend fun CoroutineScope.onLost(result: AttemptResult.Lost): RequestResult? {
+        evidence.mayHaveRun = true
+        // A retry would run the request again for an answer that most likely finds the memory full as well.
+        if (result.cause == LossCause.NO_MEMORY) return ifNothingRuns { evidence.uncertain(Outcome.NO_MEMORY) }
+        val retried = if (route.kind.retryable) retry(RetryReason.LOST) else null
+        return retried ?: ifNothingRuns { evidence.uncertain(Outcome.LOST) }
+    }
+
     private suspend fun CoroutineScope.onAnswered(result: AttemptResult.Answered): RequestResult? {
         evidence.mayHaveRun = true
         if (result.status < FIRST_SERVER_ERROR || !route.kind.retryable) return evidence.forward(result)
@@ -233,7 +238,7 @@
                 val maxIdle = if (route.kind.retryable) MAX_LINK_IDLE_IDEMPOTENT else MAX_LINK_IDLE
                 attempt.result = handler.upstreamLinks.exchange(row.record.address, outbound, maxIdle)
                 attempt.endedAt = ticker.now()
-                if (attempt.result is AttemptResult.Lost) updateLossWindow(attempt, ticker.now())
+                if (attempt.mayHaveLostUpstream) updateLossWindow(attempt, ticker.now())
                 // Before the slot is granted to a queued request: the upstream may have become unusable.
                 handler.attemptFeedback.record(attempt, route, request.fingerprint)
             } finally {
