Keep an entry that is leaving in the view until it ends

Cause: the view dropped an entry as soon as it said that it leaves. An entry outside the view counts as not fresh, so one second after the start of its planned stop it refused, as not-fresh, the requests of callers who still held its address.

Change: ViewUpdater drops an entry when it has ended, not when it leaves. Until then changes wait for it, as for any entry that takes requests; majorities already leave out runs that have ended.

--- a/fleet/src/main/kotlin/io/poplarwood/fleet/config/ViewUpdater.kt
+++ b/fleet/src/main/kotlin/io/poplarwood/fleet/config/ViewUpdater.kt
@@ -52,9 +52,10 @@
         }
     }
 
+    /** An entry that is leaving stays a member until it ends, since it still accepts requests of its last callers. */
     private fun computeMembers(now: Duration): List<EntryRef> {
-        val present = table.present().filter { it.row.state != MemberState.LEAVING }.map { it.row.ref }
-        val self = if (table.self.state == MemberState.LEAVING) emptyList() else listOf(ctx.self)
+        val present = table.present().map { it.row.ref }
+        val self = if (table.self.state == MemberState.GONE) emptyList() else listOf(ctx.self)
         val unreachable = state.view?.members.orEmpty().filter { ref ->
             val gone = table[ref]?.goneAt
             gone != null && now - gone < REMOVE_AFTER && table[ref]?.ended != true
--- a/fleet/src/test/kotlin/io/poplarwood/fleet/MembershipSpec.kt
+++ b/fleet/src/test/kotlin/io/poplarwood/fleet/MembershipSpec.kt
@@ -74,6 +74,17 @@
             }
         }
 
+        @Test
+        fun `lets an entry that is leaving accept requests until it ends`() {
+            // Guards against requests refused as not-fresh by an entry whose address callers still hold.
+            val leaving = cell.entries[4]
+            cell.input(leaving) { leave() }
+            repeat(80) {
+                cell.run(100.milliseconds)
+                assertTrue(leaving.takesWork, "at ${cell.timeline.now()}")
+            }
+        }
+
         @Test
         fun `readmits a zone that was cut off, without new incarnations of the other entries`() {
             // Guards against the cut-off side declaring the other entries gone, which is final.
