Report a refusal for crashes again after an answer ended it

Cause: CrashRow.refusalReported was never reset.

Change: CrashSuspects.recordAnswer resets it where the refusal ends.

CrashSuspectsSpec, "is reported again after an answer ended it": failed before, passes now. A trial of the other report, that evict drops a refused row without onReadmitted, showed that it does not happen: rows that are not refused go first, and the row that was just added is never refused.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/CrashRow.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/CrashRow.kt
@@ -14,7 +14,7 @@
     /** Losses up to this time were cleared by an answer. */
     var clearedAt: Duration = -Duration.INFINITE
 
-    /** Whether the refusal of such requests was reported. */
+    /** Whether the present refusal of such requests was reported. */
     var refusalReported = false
 
     /** Whether enough upstreams are known to have ended. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/CrashSuspects.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/CrashSuspects.kt
@@ -58,7 +58,10 @@
         val refused = row.refused
         if (row.rowsToSync) row.clearedAt = maxOf(row.clearedAt, at)
         row.losses.values.removeIf { it.lostAt <= at }
-        if (refused && !row.refused) onReadmitted(fingerprint)
+        if (refused && !row.refused) {
+            row.refusalReported = false
+            onReadmitted(fingerprint)
+        }
         return before - row.losses.size
     }
 
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/decision/crash/CrashSuspectsSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/decision/crash/CrashSuspectsSpec.kt
@@ -1,9 +1,11 @@
 package io.poplarwood.gateway.decision.crash
 
+import io.poplarwood.api.random.SplitMix
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
+import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
@@ -51,6 +53,28 @@
         }
     }
 
+    @Nested
+    inner class `a refusal` {
+        private fun loseThree(fingerprint: Long, from: Duration) = repeat(3) {
+            val at = from + it.milliseconds * 10
+            suspects.recordLoss(fingerprint, CrashLoss(random.nextLong(), "u", at - 1.milliseconds, at, true), at)
+        }
+
+        private val random = SplitMix(1)
+
+        /** Guards against a second refusal that is neither logged nor stored. */
+        @Test
+        fun `is reported again after an answer ended it`() {
+            loseThree(7, 1.seconds)
+            assertTrue(suspects.becameRefused(7))
+            suspects.recordAnswer(7, 2.seconds)
+            assertFalse(suspects.becameRefused(7))
+            loseThree(7, 3.seconds)
+            assertTrue(suspects.becameRefused(7))
+            assertFalse(suspects.becameRefused(7))
+        }
+    }
+
     @Nested
     inner class `a common request` {
         /** Guards against refusing a common request because upstreams crashed while they executed it. */
