Send older crash records in turn when digests differ

Cause: an entry whose digest differed got the eight most recent records each time. When these matched, an older record that differed was never sent.

Change: of the eight, two are the most recent ones and six go through the others in turn, for each peer. Up to eight records are sent as before.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/CrashGossip.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/CrashGossip.kt
@@ -25,6 +25,9 @@
     private val log: EventLog,
     private val send: (PeerMessage, List<String>) -> Unit,
 ) {
+    /** Number of times in a row that the digest of an entry differed, by its address; without those that match. */
+    private val roundsByPeer = HashMap<String, Int>()
+
     /** Hash of the crash records that every entry should know; equal at entries with the same records. */
     val digest: Long get() = crashes.digest(ticker.now())
 
@@ -38,16 +41,34 @@
         send(PeerMessage.CrashUpdate(self, listOf(update)), table.live.map { it.record.peers })
     }
 
-    /** Sends the most recent records to the entry at [peer] unless its [digest] matches the own one. */
+    /** Sends records to the entry at [peer] unless its [digest] matches the own one. */
     fun sendIfDifferent(digest: Long, peer: String) {
-        if (digest == this.digest) return
+        if (digest == this.digest) {
+            roundsByPeer.remove(peer)
+            return
+        }
         val now = ticker.now()
-        val rows = crashes.rowsToSync(now).entries.sortedByDescending { it.value.seenAt }.take(MAX_ROWS_PER_HEARTBEAT)
-        for ((fingerprint, row) in rows) {
+        val round = roundsByPeer[peer] ?: 0
+        roundsByPeer[peer] = round + 1
+        for ((fingerprint, row) in rowsOfRound(round, now)) {
             send(PeerMessage.CrashUpdate(self, listOf(updateOf(fingerprint, row, now))), listOf(peer))
         }
     }
 
+    /**
+     * The records to send in [round], the number of times in a row that the digests differed: the most recent ones,
+     * and others in turn, since the most recent ones may be those that both entries have.
+     */
+    private fun rowsOfRound(round: Int, now: Duration): List<Map.Entry<Long, CrashRow>> {
+        val byTime = crashes.rowsToSync(now).entries.sortedByDescending { it.value.seenAt }
+        if (byTime.size <= MAX_ROWS_PER_HEARTBEAT) return byTime
+        // Ordered by fingerprint: their order by time changes while such requests arrive.
+        val others = byTime.drop(RECENT_ROWS_PER_HEARTBEAT).sortedBy { it.key }
+        val count = MAX_ROWS_PER_HEARTBEAT - RECENT_ROWS_PER_HEARTBEAT
+        return byTime.take(RECENT_ROWS_PER_HEARTBEAT) +
+            List(count) { others[(round.toLong() * count + it).mod(others.size)] }
+    }
+
     fun receive(update: PeerMessage.CrashUpdate) = update.suspects.forEach { merge(it, update.from) }
 
     /** Merges the losses and the clearing that [from] reported for one fingerprint. */
@@ -91,6 +112,7 @@
     private companion object {
         /** Further records are sent in response to a later heartbeat. */
         const val MAX_ROWS_PER_HEARTBEAT = 8
+        const val RECENT_ROWS_PER_HEARTBEAT = 2
 
         /** As many as fit into a datagram; any three in a row are enough to refuse a request. */
         const val MAX_LOSSES_PER_UPDATE = 8
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/CrashUpdatesSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/CrashUpdatesSpec.kt
@@ -31,16 +31,16 @@
 
     private fun TestScope.now(): Duration = testScheduler.currentTime.milliseconds
 
-    /** Lets three upstreams end under request [REQUEST] at [entry], one after the other. */
-    private suspend fun TestScope.loseUpstreams(entry: SimulatedCluster.Entry) = repeat(3) {
+    /** Lets three upstreams end under [request] at [entry], one after the other. */
+    private suspend fun TestScope.loseUpstreams(entry: SimulatedCluster.Entry, request: Long = REQUEST) = repeat(3) {
         delay(10.milliseconds)
-        val loss = CrashLoss(it + 1L, "u$it", now() - 1.milliseconds, now(), confirmed = true)
-        entry.crashes.recordLoss(REQUEST, loss, now())
-        entry.peers.crashGossip.announceLoss(REQUEST, loss)
+        val loss = CrashLoss(request * 10 + it, "u$it", now() - 1.milliseconds, now(), confirmed = true)
+        entry.crashes.recordLoss(request, loss, now())
+        entry.peers.crashGossip.announceLoss(request, loss)
     }
 
-    private fun TestScope.admitting(cluster: SimulatedCluster) =
-        cluster.entries.filter { it.crashes.verdict(REQUEST, now()) != CrashVerdict.REFUSED }.map { it.name }
+    private fun TestScope.admitting(cluster: SimulatedCluster, request: Long = REQUEST) =
+        cluster.entries.filter { it.crashes.verdict(request, now()) != CrashVerdict.REFUSED }.map { it.name }
 
     /** Guards against entries that never learn of losses that were announced while they were unreachable. */
     @Test
@@ -52,6 +52,17 @@
         assertEquals(emptyList(), admitting(cluster))
     }
 
+    /** Guards against records that are never sent because as many newer ones as one heartbeat carries match. */
+    @Test
+    fun `reach every entry although many newer records exist`() = simulate { cluster ->
+        cluster.unreachable += cluster.entries.map { it.name }
+        for (request in 1L..MANY) loseUpstreams(cluster.entries.first(), request)
+        cluster.unreachable.clear()
+        delay(CONVERGENCE_TIME * 2)
+        val admitted = (1L..MANY).filter { admitting(cluster, it).isNotEmpty() }
+        assertEquals(emptyList(), admitted)
+    }
+
     /** Guards against updates of a standby entry that reach only active entries. */
     @Test
     fun `reach every entry in time from a standby entry despite lost datagrams`() = simulate { cluster ->
@@ -86,6 +97,9 @@
         const val SEED = 4L
         const val REQUEST = 7L
 
+        /** Several times the number of records that are sent in response to one heartbeat. */
+        const val MANY = 30L
+
         /** Time within which a crash record or its clearing reaches every entry. */
         val CONVERGENCE_TIME = 3.seconds
     }
