Keep the utilization of the retry budget between 0 and 1

Cause: utilization divided by an allowance that shrinks when requests leave the window, so it exceeded 1, and was NaN without requests and slack. Its only user compares it with 0.7, so no decision was wrong.

Change: it is at most 1, and 1 while the budget allows nothing.

RetryBudgetSpec, "is used up at most, also without requests or after its limit was lowered": failed before (NaN), passes now.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/RetryBudget.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/RetryBudget.kt
@@ -35,10 +35,12 @@
         return true
     }
 
-    /** Used share of the budget of [service], 0 to 1. */
+    /** Used share of the budget of [service], 0 to 1; 1 also while the budget allows nothing. */
     fun utilization(service: ServiceName, now: Duration): Double {
         val counters = countersByService[service] ?: return 0.0
-        return counters.retries.sum(now) / allowance(counters, now)
+        val allowance = allowance(counters, now)
+        // The allowance shrinks when requests leave the window and when a limit or the number of entries changes.
+        return if (allowance > 0) (counters.retries.sum(now) / allowance).coerceAtMost(1.0) else 1.0
     }
 
     private fun allowance(counters: ServiceCounters, now: Duration): Double {
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/decision/RetryBudgetSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/decision/RetryBudgetSpec.kt
@@ -3,6 +3,7 @@
 import io.poplarwood.api.random.SplitMix
 import io.poplarwood.gateway.support.SERVICE
 import kotlin.test.Test
+import kotlin.test.assertEquals
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
@@ -51,6 +52,21 @@
         }
     }
 
+    /** Guards against a utilization that no comparison with a share of the budget can use. */
+    @Test
+    fun `is used up at most, also without requests or after its limit was lowered`() {
+        var limits = RetryLimits(ratio, 0.0)
+        val budget = RetryBudget(window, { limits }) { 1 }
+        assertEquals(0.0, budget.utilization(SERVICE, 0.seconds))
+        assertFalse(budget.tryAcquire(SERVICE, 0.seconds))
+        assertEquals(1.0, budget.utilization(SERVICE, 0.seconds))
+        limits = RetryLimits(ratio, 8.0)
+        repeat(3) { assertTrue(budget.tryAcquire(SERVICE, 0.seconds)) }
+        assertEquals(0.75, budget.utilization(SERVICE, 0.seconds))
+        limits = RetryLimits(ratio, 2.0)
+        assertEquals(1.0, budget.utilization(SERVICE, 0.seconds))
+    }
+
     @Test
     fun `frees the attempts that left the window`() {
         val budget = RetryBudget(window, { RetryLimits(ratio, 4.0) }) { 1 }
