Explain a request by events that exist, and by its own upstreams only

Change: the events are constants of GatewayEvent, and an upstream must be the start of a word of the trail.

ExplanationSpec: "shows no events of upstreams that the request did not meet" and "shows that the request's entry dropped answers" failed before and pass now.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/explain/Explanation.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/explain/Explanation.kt
@@ -1,5 +1,6 @@
 package io.poplarwood.gateway.explain
 
+import io.poplarwood.gateway.log.GatewayEvent
 import kotlin.math.abs
 
 /**
@@ -23,27 +24,39 @@
         private fun isRelated(record: LogRecord, request: LogRecord): Boolean {
             if (abs(record.atMs - request.atMs) > RELATED_WINDOW_MS) return false
             val upstream = record["upstream"]
-            if (upstream.isNotEmpty()) return record.event in UPSTREAM_EVENTS && "$upstream(" in request["trail"]
+            if (upstream.isNotEmpty()) return record.event in UPSTREAM_EVENTS && wasTried(upstream, request)
             return record.source == request.source && record.event in ENTRY_EVENTS
         }
 
+        private fun wasTried(upstream: String, request: LogRecord) =
+            request["trail"].split(' ').any { it.startsWith("$upstream(") }
+
         /** Events up to this long before or after the record of a request may have affected that request. */
         private const val RELATED_WINDOW_MS = 5_000L
 
-        /** Upstreams: registration, removal, unreadable registration, ejection and its end, state, suspected crash. */
-        private val UPSTREAM_EVENTS = setOf("PW-6301", "PW-6302", "PW-6303", "PW-6304", "PW-6305", "PW-6306", "PW-6206")
-
-        /** The request's own entry: lifecycle, failures, store and desired state. */
-        private val ENTRY_EVENTS = setOf(
-            "PW-6001",
-            "PW-6002",
-            "PW-6004",
-            "PW-6006",
-            "PW-6007",
-            "PW-6101",
-            "PW-6102",
-            "PW-6103",
-            "PW-6104",
+        /** Events of an upstream that was tried. */
+        private val UPSTREAM_EVENTS = idsOf(
+            GatewayEvent.UPSTREAM_KNOWN,
+            GatewayEvent.UPSTREAM_GONE,
+            GatewayEvent.UPSTREAM_UNREADABLE,
+            GatewayEvent.UPSTREAM_STATE,
+            GatewayEvent.CRASH_SUSPECT,
+        )
+
+        /** The request's own entry: lifecycle, failures, memory, store and desired state. */
+        private val ENTRY_EVENTS = idsOf(
+            GatewayEvent.STARTED,
+            GatewayEvent.READY,
+            GatewayEvent.STOPPING,
+            GatewayEvent.RELOADED,
+            GatewayEvent.FAILED,
+            GatewayEvent.ANSWERS_DROPPED,
+            GatewayEvent.STORE_LOST,
+            GatewayEvent.STORE_BACK,
+            GatewayEvent.STATE_IN_FORCE,
+            GatewayEvent.STATE_UNREADABLE,
         )
+
+        private fun idsOf(vararg events: GatewayEvent): Set<String> = events.mapTo(HashSet()) { it.id }
     }
 }
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/explain/ExplanationSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/explain/ExplanationSpec.kt
@@ -28,16 +28,29 @@
     fun `shows the events of the request's upstreams, sorted by time`() {
         val all = records(
             lost,
-            "e2 " + line(10_400, "PW-6304", "upstream" to "u1", "failures" to "2"),
+            "e2 " + line(10_400, "PW-6306", "upstream" to "u1", "failures" to "2"),
             line(9_000, "PW-6301", "upstream" to "u1"),
             line(9_000, "PW-6301", "upstream" to "u2"),
             line(30_000, "PW-6302", "upstream" to "u1"),
         )
         val explanation = assertNotNull(Explanation.of("r1", all))
-        assertEquals(listOf("PW-6301", "PW-6203", "PW-6304"), explanation.records.map { it.event })
+        assertEquals(listOf("PW-6301", "PW-6203", "PW-6306"), explanation.records.map { it.event })
         assertEquals(listOf("a.log", "a.log", "e2"), explanation.records.map { it.source })
     }
 
+    /** Guards against events of an upstream whose name ends in the name of another one. */
+    @Test
+    fun `shows no events of upstreams that the request did not meet`() {
+        val request = line(10_000, "PW-6203", "requestId" to "r1", "trail" to "a(load=1/3):shed+1ms other-u1(load=1/3):200")
+        val all = records(request, line(9_000, "PW-6302", "upstream" to "u1"), line(9_000, "PW-6302", "upstream" to "a"))
+        assertEquals(listOf("a", ""), Explanation.of("r1", all)?.records?.map { it["upstream"] })
+    }
+
+    /** Guards against a cause that refers to an event which is not shown. */
+    @Test
+    fun `shows that the request's entry dropped answers`() =
+        assertEquals(2, Explanation.of("r1", records(lost, line(10_000, "PW-6210")))?.records?.size)
+
     @Test
     fun `shows store events of the request's own entry only`() {
         val all = records(lost, line(9_500, "PW-6101"), "e2 " + line(9_500, "PW-6101"))
