Release the memory of a request that is cancelled before it starts

Cause: the memory reserved for a body was released in the request's coroutine. When its caller left between the launch and the first step, that coroutine never ran and the memory stayed reserved until the process ended.

Change: it is released when the job completes, however it ends.

CallerConnectionSpec failed before and passes now. The other report, that EntryHttpClient leaves a connection unpooled after cancellation, was not confirmed: a trial that cancelled a call between connect and request found the connection closed on the code as it was, since the cancellation handler also runs for a result that was not delivered.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/CallerConnection.kt
@@ -119,7 +119,10 @@
     private fun startQueued() {
         while (!closing) {
             val exchange = exchanges.startNext(exclusive = listener.closesAfterResponse) ?: return
-            exchange.job = scope.launch { run(exchange) }
+            val job = scope.launch { run(exchange) }
+            exchange.job = job
+            // A job that is cancelled before it starts never runs.
+            exchange.request?.let { request -> job.invokeOnCompletion { releaseMemory(request) } }
         }
     }
 
@@ -128,14 +131,18 @@
         try {
             exchange.answer = listener.serve(request.toCallerRequest(listener.names, callerAddress(context)))
         } finally {
-            listener.bodyMemory.release(request.reservedBytes)
-            request.reservedBytes = 0
+            releaseMemory(request)
         }
         sendCompleted()
         startQueued()
         updateAutoRead()
     }
 
+    private fun releaseMemory(request: IncomingRequest) {
+        listener.bodyMemory.release(request.reservedBytes)
+        request.reservedBytes = 0
+    }
+
     /** Sends the responses that are complete and whose predecessors have been sent. */
     private fun sendCompleted() {
         while (context.channel().isActive) {
@@ -203,7 +210,7 @@
     }
 
     private fun dropQueued() {
-        (exchanges.dropQueued() + listOfNotNull(incoming)).forEach { listener.bodyMemory.release(it.reservedBytes) }
+        (exchanges.dropQueued() + listOfNotNull(incoming)).forEach(::releaseMemory)
         incoming = null
     }
 
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/support/Fixtures.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/support/Fixtures.kt
@@ -3,6 +3,7 @@
 import io.poplarwood.api.id.ServiceName
 import io.poplarwood.api.id.Zone
 import io.poplarwood.gateway.decision.RequestEstimate
+import io.poplarwood.gateway.http.HeaderNames
 import io.poplarwood.gateway.route.RequestKind
 import io.poplarwood.gateway.route.Route
 import io.poplarwood.gateway.route.ServiceShare
@@ -13,6 +14,18 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+internal val HEADER_NAMES = HeaderNames(
+    requestId = "request-id",
+    deadlineMs = "deadline-ms",
+    expectedUpstream = "expected-upstream",
+    upstreamId = "upstream-id",
+    signature = "signature",
+    notExecuted = "not-executed",
+    draining = "draining",
+    rateLimit = "rate-limit",
+    load = "load",
+)
+
 internal val SERVICE = ServiceName("s1")
 
 internal fun upstream(id: String, slots: Int = 3, zone: String = "z1", draining: Boolean = false, born: Long = 1) =
