--- a/gateway/src/test/kotlin/io/poplarwood/gateway/upstream/AvailabilitySpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/upstream/AvailabilitySpec.kt
@@ -48,6 +48,30 @@
             table.put(upstream("u1", born = 2), now)
             assertEquals(AvailabilityState.READY, table["u1"]?.availability?.state(now))
         }
+
+        /** Guards against a mark that ends although it was renewed, so that the upstream gets requests again. */
+        @Test
+        fun `stays marked for ten minutes after the last announcement`() {
+            val table = UpstreamTable()
+            table.markDraining("u1", 1, start)
+            table.markDraining("u1", 1, start + 9.minutes)
+            table.put(upstream("u1", born = 1), start + 18.minutes)
+            assertEquals(AvailabilityState.LEAVING, table["u1"]?.availability?.state(start + 18.minutes))
+        }
+
+        /** Guards against a restart that gets no requests because neither run tells when it began. */
+        @Test
+        fun `is soon distinguished from its next incarnation when it does not tell when it began`() {
+            val table = UpstreamTable()
+            table.put(upstream("u1", born = 0), start)
+            table.markDraining("u1", 0, start)
+            table.remove("u1")
+            table.put(upstream("u1", born = 0), start + 5.seconds)
+            assertEquals(AvailabilityState.LEAVING, table["u1"]?.availability?.state(start + 5.seconds))
+            table.remove("u1")
+            table.put(upstream("u1", born = 0), start + 11.seconds)
+            assertEquals(AvailabilityState.READY, table["u1"]?.availability?.state(start + 11.seconds))
+        }
     }
 
     @Nested
