--- a/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/GatewayMetrics.kt
@@ -31,6 +31,13 @@
         )
     private val malformedDatagrams =
         counter("poplarwood_gateway_malformed_datagrams", "Datagrams of other entries that could not be decoded.")
+    private val datagramsSent = counter("poplarwood_gateway_datagrams_sent", "Datagrams sent to other entries.", "kind")
+    private val datagramsReceived =
+        counter("poplarwood_gateway_datagrams_received", "Datagrams received from other entries.", "kind")
+    private val datagramBytesSent =
+        counter("poplarwood_gateway_datagram_bytes_sent", "Bytes of datagrams sent to other entries.", "kind")
+    private val datagramBytesReceived =
+        counter("poplarwood_gateway_datagram_bytes_received", "Bytes of datagrams received from other entries.", "kind")
     private val transfers = counter(
         "poplarwood_gateway_configuration_transfers",
         "Transfers of configuration changes between entries, by what became of them.",
@@ -53,6 +60,25 @@
     private val transferBytesByEvent = listOf(TransferEvent.SENT, TransferEvent.RECEIVED)
         .associateWith { transferBytes.labelValues(it.name.lowercase()) }
 
+    private val datagramsSentByKind = byKind(datagramsSent)
+    private val datagramsReceivedByKind = byKind(datagramsReceived)
+    private val datagramBytesSentByKind = byKind(datagramBytesSent)
+    private val datagramBytesReceivedByKind = byKind(datagramBytesReceived)
+
+    /** Counts a datagram of [bytes] that is sent to each of [receivers] entries. */
+    fun datagramSent(kind: DatagramKind, bytes: Int, receivers: Int) {
+        datagramsSentByKind[kind.ordinal].inc(receivers.toDouble())
+        datagramBytesSentByKind[kind.ordinal].inc(bytes.toDouble() * receivers)
+    }
+
+    /** Counts a datagram of [bytes] from another entry. */
+    fun datagramReceived(kind: DatagramKind, bytes: Int) {
+        datagramsReceivedByKind[kind.ordinal].inc()
+        datagramBytesReceivedByKind[kind.ordinal].inc(bytes.toDouble())
+    }
+
+    private fun byKind(counter: Counter) = DatagramKind.entries.map { counter.labelValues(it.name.lowercase()) }
+
     /** Counts a datagram of another entry that cannot be decoded. */
     fun datagramMalformed() = malformedDatagrams.inc()
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
@@ -1,5 +1,6 @@
 package io.poplarwood.gateway.peer
 
+import io.poplarwood.gateway.metrics.DatagramKind
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -8,6 +9,16 @@
 internal sealed interface PeerMessage {
     val from: String
 
+    /** Kind of this message in the metrics. */
+    val kind: DatagramKind
+        get() = when (this) {
+            is Hello -> DatagramKind.HEARTBEAT
+            is LoadState, is LoadUpdate -> DatagramKind.LOAD
+            is UpstreamUpdate -> DatagramKind.REGISTRATIONS
+            is PermitMessage -> DatagramKind.PERMITS
+            is CrashUpdate -> DatagramKind.CRASHES
+        }
+
     companion object {
         /** Heartbeat interval that is assumed until a heartbeat states its own, in milliseconds. */
         const val INITIAL_INTERVAL_MS = 400
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerSocket.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerSocket.kt
@@ -12,19 +12,19 @@
 import io.netty.channel.socket.nio.NioDatagramChannel
 import io.poplarwood.gateway.http.UpstreamConnectionPool
 import io.poplarwood.gateway.http.bindTo
+import io.poplarwood.gateway.metrics.GatewayMetrics
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 import java.net.InetSocketAddress
 
 /**
- * Sends and receives the datagrams of entries at [address]. For a datagram that cannot be decoded, [onMalformed]
- * is called and the datagram is dropped.
+ * Sends and receives the datagrams of entries at [address]. A datagram that cannot be decoded is counted and dropped.
  */
 internal class PeerSocket(
     private val group: EventLoopGroup,
     private val address: String,
+    private val metrics: GatewayMetrics,
     private val onMessage: (PeerMessage) -> Unit,
-    private val onMalformed: () -> Unit,
 ) {
     private val cbor = Cbor { ignoreUnknownKeys = true }
 
@@ -55,17 +55,20 @@
             socket.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), to))
         }
         socket.flush()
+        metrics.datagramSent(message.kind, bytes.size, peers.size)
     }
 
     private fun decode(packet: DatagramPacket) {
         val bytes = ByteArray(packet.content().readableBytes())
         packet.content().readBytes(bytes)
         try {
-            onMessage(cbor.decodeFromByteArray(serializer, bytes))
+            val message = cbor.decodeFromByteArray(serializer, bytes)
+            metrics.datagramReceived(message.kind, bytes.size)
+            onMessage(message)
         } catch (e: SerializationException) {
-            onMalformed()
+            metrics.datagramMalformed()
         } catch (e: IllegalArgumentException) {
-            onMalformed()
+            metrics.datagramMalformed()
         }
     }
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/PeerServices.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/PeerServices.kt
@@ -27,8 +27,8 @@
     val socket = PeerSocket(
         runtime.eventLoopGroup,
         state.record.peers,
+        runtime.metrics,
         { gossip.receive(it) },
-        runtime.metrics::datagramMalformed,
     )
     val gossip: PeerGossip = PeerGossip(
         socket::send,
