Let standby entries fetch registrations at most every 750 ms

Cause: while many upstreams register, every standby entry fetched the newest rows several times a second; each fetch costs a connection's round trip, a decompression and a decoding at 126 of 134 entries. Entries that take callers still fetch at once.

PeerSyncSpec, 'waits before it fetches again while it takes no callers', guards it.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/ActiveEntries.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/ActiveEntries.kt
@@ -24,6 +24,9 @@
 
     val requestsPerS: Int get() = own().requestsPerS
 
+    /** Whether this entry takes callers of its zone, or still receives requests from them. */
+    fun receivesRequests(): Boolean = active || requestsPerS > 0
+
     /** Live peers that take callers of this entry's zone. */
     val activePeers: List<PeerStatus> get() = peers.liveInZone(record.zone).filter { it.hello?.active ?: false }
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerSync.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerSync.kt
@@ -17,16 +17,19 @@
 /**
  * Fetches newer registrations of upstreams from peers. An entry needs these while the store is unreachable for it, or
  * when it starts during an outage of the store. A page that does not arrive in time is requested from another peer; the
- * pages that have arrived are kept.
+ * pages that have arrived are kept. An entry without callers fetches at most once in [STANDBY_INTERVAL], since many
+ * upstreams that start together would otherwise cost each standby entry several fetches a second.
  *
  * @param self address of this entry for other entries
  * @param ask sends a query to the peer at an address; null when it does not reply in time
  * @param holders peers with newer registrations
+ * @param takesCallers whether this entry takes callers or still receives requests
  */
 internal class PeerSync(
     private val self: String,
     private val ask: suspend (address: String, query: RegistrationQuery) -> RegistrationReply?,
     private val holders: NewerPeers,
+    private val takesCallers: () -> Boolean,
     private val book: StateReplica,
     private val random: RandomSource,
     private val scope: CoroutineScope,
@@ -38,9 +41,12 @@
     private val sources = TransferSources(self, holders::of, ticker)
     private var fetching = false
 
-    /** Starts to fetch if a peer has newer registrations and this entry does not fetch already. */
+    /** When registrations of a peer were applied last. */
+    private var appliedAt = -Duration.INFINITE
+
+    /** Starts to fetch if a peer has newer registrations, unless this entry fetches already or has to wait. */
     fun syncIfBehind() {
-        if (fetching || holders.of(book.upstreamVersion).isEmpty()) return
+        if (fetching || mustWait() || holders.of(book.upstreamVersion).isEmpty()) return
         fetching = true
         scope.launch {
             try {
@@ -51,6 +57,8 @@
         }
     }
 
+    private fun mustWait() = ticker.now() - appliedAt < STANDBY_INTERVAL && !takesCallers()
+
     /** Fetches what changed, or all pages when the peer no longer knows what changed since then. */
     private suspend fun fetch() {
         sources.clearReferrals()
@@ -81,6 +89,7 @@
         val covered = RowSnapshot(rows, pages.minOf { it.reply.coveredVersion })
         val newest = pages.minOf { it.reply.upstreamVersion }
         val after = first.reply.after
+        appliedAt = ticker.now()
         if (after != null) {
             book.applyUpstreamChanges(covered, after, source, newest)
         } else {
@@ -119,20 +128,23 @@
         log.log(GatewayEvent.PEER_FETCH, peer, query.newest, bytes, tookMs, result)
     }
 
-    private companion object {
+    companion object {
+        /** Leaves more than a second of the two within which every entry has to know of a leaving upstream. */
+        val STANDBY_INTERVAL = 750.milliseconds
+
         /** A peer that did not reply is asked again after this time at the earliest. */
-        val FAILURE_PAUSE = 300.milliseconds
+        private val FAILURE_PAUSE = 300.milliseconds
 
         /** Time for which the pages that have arrived are kept when no peer can send the others. */
-        val RESUME_TIMEOUT = 3_000.milliseconds
+        private val RESUME_TIMEOUT = 3_000.milliseconds
 
         /** Time that a peer needs to apply what it has just received. */
-        val NOTHING_PAUSE = 100.milliseconds
+        private val NOTHING_PAUSE = 100.milliseconds
 
         /** Pause after the reply of a busy peer; a narrow link needs about as long for a page. */
-        val BUSY_PAUSE = 40.milliseconds
+        private val BUSY_PAUSE = 40.milliseconds
 
         /** The jitter factor lies between this and 1.5. */
-        const val MIN_JITTER = 0.5
+        private const val MIN_JITTER = 0.5
     }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/PeerServices.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/PeerServices.kt
@@ -68,6 +68,7 @@
         state.record,
         ::callPeer,
         state.peers,
+        state.activeEntries::receivesRequests,
         state.replica,
         settings.limits.linkMbps,
         runtime.background,
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/StateExchange.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/StateExchange.kt
@@ -34,6 +34,7 @@
  * Exchange of the store's rows with other entries: desired states in pieces, registrations in pages.
  *
  * @param call requests the given path from the peer at an address; null when the peer does not reply in time
+ * @param takesCallers whether this entry takes callers or still receives requests
  * @param linkMbps bandwidth of this VM's link, in megabits per second
  */
 internal class StateExchange(
@@ -41,6 +42,7 @@
     record: PeerRecord,
     private val call: suspend (address: String, path: String) -> ByteArray?,
     peers: PeerTable,
+    takesCallers: () -> Boolean,
     private val book: StateReplica,
     private val linkMbps: Double,
     background: BackgroundWork,
@@ -52,7 +54,7 @@
 ) {
     private val cbor = Cbor { ignoreUnknownKeys = true }
     private val transfers = TransferRecorder(log, metrics)
-    private val takesCallers = { address: String -> peers.active.any { it.record.peers == address } }
+    private val peerTakesCallers = { address: String -> peers.active.any { it.record.peers == address } }
 
     private val configurationHolders = NewerPeers(self, record.zone, peers) { it.stateVersion }
     private val configurationSender =
@@ -74,6 +76,7 @@
         record.peers,
         { address, query -> ask(address, REGISTRATIONS_PATH + query.encode()) },
         NewerPeers(self, record.zone, peers) { it.upstreamVersion },
+        takesCallers,
         book,
         random,
         scope,
@@ -120,7 +123,7 @@
     }
 
     /** Receivers of configurations and of registrations are bounded apart: a receiver of both has a slot of each. */
-    private fun admission(ticker: Ticker) = TransferAdmission(TransferSlots.forLink(linkMbps), takesCallers, ticker)
+    private fun admission(ticker: Ticker) = TransferAdmission(TransferSlots.forLink(linkMbps), peerTakesCallers, ticker)
 
     private suspend inline fun <reified T : Any> ask(address: String, path: String): T? {
         val bytes = call(address, path) ?: return null
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/PeerSyncSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/PeerSyncSpec.kt
@@ -29,6 +29,7 @@
 import kotlin.test.assertNotNull
 import kotlin.test.assertTrue
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Exchange of registrations between two entries. */
 class PeerSyncSpec {
@@ -52,9 +53,13 @@
         "s",
     )
 
+    private var now = Duration.ZERO
+    private var takesCallers = true
+    private val peers = PeerTable("receiver")
+    private var peerSync: PeerSync? = null
+
     /** Lets the receiver fetch what it lacks from the sender. */
     private fun TestScope.sync() {
-        val peers = PeerTable("receiver")
         val version = sender.book.upstreamVersion
         peers.onHeartbeat(hello("sender").copy(upstreamVersion = version), Duration.ZERO)
         val admission = TransferAdmission(TransferSlots(2), { false }, TICKER)
@@ -64,8 +69,18 @@
             answering.reply(parsed).also { replySizes += Cbor.encodeToByteArray<RegistrationReply>(it).size }
         }
         val holders = NewerPeers("receiver", "z1", peers) { it.upstreamVersion }
-        PeerSync("receiver", ask, holders, receiver.book, SplitMix(1), backgroundScope, TICKER, EventLog())
-            .syncIfBehind()
+        val sync = peerSync ?: PeerSync(
+            "receiver",
+            ask,
+            holders,
+            { takesCallers },
+            receiver.book,
+            SplitMix(1),
+            backgroundScope,
+            { now },
+            EventLog(),
+        ).also { peerSync = it }
+        sync.syncIfBehind()
         runCurrent()
     }
 
@@ -98,6 +113,48 @@
         }
     }
 
+    @Nested
+    inner class `an entry that has just fetched` {
+        private fun TestScope.changeAndSync(version: Long): Long {
+            val change = listOf(StoredRow("u$version", ByteArray(300), version))
+            sender.book.applyUpstreamChanges(RowSnapshot(change, version), version - 1, "s")
+            sync()
+            return receiver.book.upstreamVersion
+        }
+
+        /** Guards against several fetches a second by each standby entry while many upstreams start. */
+        @Test
+        fun `waits before it fetches again while it takes no callers`() = runTest {
+            takesCallers = false
+            register(sender, 1..10, version = 10)
+            sync()
+            now += PeerSync.STANDBY_INTERVAL - 1.milliseconds
+            assertEquals(10, changeAndSync(11))
+            now += 1.milliseconds
+            assertEquals(12, changeAndSync(12))
+        }
+
+        /** Guards against an entry that sends requests to an upstream that left while it waited. */
+        @Test
+        fun `fetches again at once while it takes callers`() = runTest {
+            register(sender, 1..10, version = 10)
+            sync()
+            assertEquals(11, changeAndSync(11))
+        }
+
+        /** Guards against a wait that outlasts the beginning of requests. */
+        @Test
+        fun `ends its wait when it begins to take callers`() = runTest {
+            takesCallers = false
+            register(sender, 1..10, version = 10)
+            sync()
+            assertEquals(10, changeAndSync(11))
+            takesCallers = true
+            sync()
+            assertEquals(11, receiver.book.upstreamVersion)
+        }
+    }
+
     private companion object {
         val TICKER = Ticker { Duration.ZERO }
         const val MAX_REPLY_BYTES = 48 * 1024
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedCluster.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedCluster.kt
@@ -171,6 +171,7 @@
                 record,
                 { peer, path -> fetch(name, peer, path) },
                 table,
+                roles::receivesRequests,
                 book,
                 mbit(name),
                 { it() },
