Send load updates only to entries that place requests often

Cause: an entry that received a single request counted as one that needs each change of load within 3 ms, so the requests that only test the configuration made standby entries receivers of all updates. Change: an entry without callers gets updates from five requests a second on; below that the load in heartbeats is new enough. PeerTableSpec has both sides.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
@@ -168,10 +168,11 @@
         everyMs = period.inWholeMilliseconds.toInt(),
     )
 
-    /** Sends load [updates] to the active peers of the own zone ([near]) or to those of other zones. */
+    /** Sends load [updates] to the peers of the own zone ([near]) or of other zones that need each change at once. */
     fun sendLoadUpdates(updates: List<UpstreamLoad>, near: Boolean) {
         if (updates.isEmpty()) return
-        val recipients = table.active.filter { (it.record.zone == record.zone) == near }
+        val recipients = table.all.filter { it.needsLoadUpdates && (it.record.zone == record.zone) == near }
+        if (recipients.isEmpty()) return
         for (part in DatagramSize.split(updates, DatagramSize.roomIn(self), DatagramSize::of)) {
             send(PeerMessage.LoadUpdate(self, part), recipients.map { it.record.peers })
         }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerStatus.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerStatus.kt
@@ -20,6 +20,13 @@
     /** Whether the peer takes callers of its zone, or still receives requests from them. */
     val active: Boolean get() = !silent && hello?.let { it.active || it.requestsPerS > 0 } ?: false
 
+    /**
+     * Whether the peer gets each change of load at once. For an entry that takes no callers and receives few requests,
+     * the load in heartbeats is new enough, and updates would cost it more than its requests.
+     */
+    val needsLoadUpdates: Boolean
+        get() = !silent && hello?.let { it.active || it.requestsPerS >= LOAD_UPDATES_MIN_REQUESTS_PER_S } ?: false
+
     /**
      * Time without a heartbeat after which the peer counts as silent. Several heartbeats in a row may be lost on a bad
      * path.
@@ -40,6 +47,9 @@
     companion object {
         /** After this uptime the code of an entry is compiled and the upstreams are known. */
         val WARM_UP_TIME = 5.seconds
+
+        /** Below this rate an entry places at most two requests between two heartbeats of the same sender. */
+        private const val LOAD_UPDATES_MIN_REQUESTS_PER_S = 5
         private val INITIAL_INTERVAL = 400.milliseconds
         private const val MISSED_INTERVALS = 3.25
     }
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/PeerTableSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/PeerTableSpec.kt
@@ -4,6 +4,8 @@
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.seconds
 
 class PeerTableSpec {
@@ -45,4 +47,27 @@
             assertEquals(1 + 4, peers.budgetSharers(5.seconds))
         }
     }
+
+    @Nested
+    inner class `each change of load goes at once` {
+        private fun needsUpdates(active: Boolean, rate: Int): Boolean {
+            peers.onHeartbeat(hello("b1", "b", active = active, rate = rate), 0.seconds)
+            return peers["b1"]?.needsLoadUpdates == true
+        }
+
+        @Test
+        fun `to entries that take callers, and to others with many requests`() {
+            assertTrue(needsUpdates(active = true, rate = 0))
+            assertTrue(needsUpdates(active = false, rate = 5))
+        }
+
+        /** Guards against updates to all standby entries because each received a single request. */
+        @Test
+        fun `not to standby entries with few requests, nor to silent ones`() {
+            assertFalse(needsUpdates(active = false, rate = 4))
+            assertTrue(needsUpdates(active = true, rate = 0))
+            peers.markSilent(9.seconds)
+            assertFalse(peers["b1"]?.needsLoadUpdates == true)
+        }
+    }
 }
