--- a/gateway/src/test/kotlin/io/poplarwood/gateway/explain/ExplanationSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/explain/ExplanationSpec.kt
@@ -41,8 +41,14 @@
     /** Guards against events of an upstream whose name ends in the name of another one. */
     @Test
     fun `shows no events of upstreams that the request did not meet`() {
-        val request = line(10_000, "PW-6203", "requestId" to "r1", "trail" to "a(load=1/3):shed+1ms other-u1(load=1/3):200")
-        val all = records(request, line(9_000, "PW-6302", "upstream" to "u1"), line(9_000, "PW-6302", "upstream" to "a"))
+        val request = line(
+            10_000,
+            "PW-6203",
+            "requestId" to "r1",
+            "trail" to "a(load=1/3):shed+1ms other-u1(load=1/3):200",
+        )
+        val all =
+            records(request, line(9_000, "PW-6302", "upstream" to "u1"), line(9_000, "PW-6302", "upstream" to "a"))
         assertEquals(listOf("a", ""), Explanation.of("r1", all)?.records?.map { it["upstream"] })
     }
 
