Keep the linter's bounds in the merged fetcher, gossip and request run

Change: two functions became properties, one went back into its caller, and decode records what cannot be used.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/ConfigurationFetcher.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/ConfigurationFetcher.kt
@@ -43,15 +43,10 @@
             when (val reply = query(peer, TransferQuery(self, bases, 0, 0))) {
                 is TransferReply.Piece -> {
                     val received = collect(peer, reply)
-                    if (received == null) {
-                        delay(NOTHING_PAUSE)
-                    } else {
-                        decode(reply, received)?.let { return it }
-                        if (reply.from == 0L) recordUnusable(reply.to)
-                        // A change that does not fit is not requested again, since other peers may send the same.
-                        bases = emptyList()
-                        delay(BUSY_PAUSE)
-                    }
+                    received?.let { decode(reply, it) }?.let { return it }
+                    // A change that does not fit is not requested again, since other peers may send the same.
+                    if (received != null) bases = emptyList()
+                    delay(if (received == null) NOTHING_PAUSE else BUSY_PAUSE)
                 }
                 is TransferReply.Busy -> {
                     if (!sources.refer(reply.holders)) delay(BUSY_PAUSE * (MIN_JITTER + random.nextDouble()))
@@ -88,9 +83,9 @@
     }
 
     /**
-     * The peer that may send a further piece of the version [to]; null when there is none for long after the last one
-     * [arrivedAt], at once when the last peer has [skipped] this version, as a newer one arrives sooner, and when it has
-     * arrived on another way.
+     * The peer that may send a further piece of the version [to]. Null when there is none for long after the last piece
+     * [arrivedAt], and when the version has arrived on another way. Where the last peer has [skipped] it, null is
+     * returned at once, since a newer version arrives sooner.
      */
     private suspend fun awaitSource(to: Long, arrivedAt: Duration, skipped: Boolean): String? {
         while (newestVersion() < to) {
@@ -125,6 +120,7 @@
         if (result == null) {
             log.failed(peer, "unreadable", took)
             sources.avoid(peer, FAILURE_PAUSE)
+            if (first.from == 0L) recordUnusable(first.to)
             return null
         }
         log.received(peer, change, received.pieces.sumOf { it.size }, took)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
@@ -89,17 +89,17 @@
         refreshRoles()
         val period = if (schedule.wide) HeartbeatPlan.ACTIVE_PERIOD else HeartbeatPlan.STANDBY_PERIOD
         val due =
-            heartbeatDue || (schedule.wide && versions() != announcedVersions) || readingChanged() ||
+            heartbeatDue || (schedule.wide && versions != announcedVersions) || readingChanged ||
                 ticker.now() - lastHeartbeatAt >= period
         if (due) sendHeartbeats()
         nextTick.complete(Unit)
         nextTick = CompletableDeferred()
     }
 
-    private fun versions() = book.stateVersion to book.upstreamVersion
+    private val versions get() = book.stateVersion to book.upstreamVersion
 
     /** An answer that arrives whole between two ticks is not announced. */
-    private fun readingChanged() = schedule.wide && (readingSince != null) != readingAnnounced
+    private val readingChanged get() = schedule.wide && (readingSince != null) != readingAnnounced
 
     private fun detectSilent(now: Duration) {
         for (peer in table.markSilent(now)) {
@@ -125,7 +125,7 @@
         val now = ticker.now()
         lastHeartbeatAt = now
         heartbeatDue = false
-        announcedVersions = versions()
+        announcedVersions = versions
         readingAnnounced = readingSince != null
         // All heartbeats leave before the rest of the load, so that the load delays none of them.
         val rest = schedule.due().map { batch -> batch to sendHeartbeat(batch, now) }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
@@ -141,17 +141,16 @@
                 connectFailures++
                 retry(RetryReason.NOT_SENT) ?: ifNothingRuns { evidence.refuse(Outcome.NOT_SENT, DEFAULT_RETRY_AFTER) }
             }
-            is AttemptResult.Lost -> onLost(result)
+            is AttemptResult.Lost -> {
+                evidence.mayHaveRun = true
+                val outcome = if (result.cause == LossCause.NO_MEMORY) Outcome.NO_MEMORY else Outcome.LOST
+                // The answer to another attempt would most likely find the memory full as well.
+                val retryable = route.kind.retryable && outcome == Outcome.LOST
+                val retried = if (retryable) retry(RetryReason.LOST) else null
+                retried ?: ifNothingRuns { evidence.uncertain(outcome) }
+            }
         }
 
-    private suspend fun CoroutineScope.onLost(result: AttemptResult.Lost): RequestResult? {
-        evidence.mayHaveRun = true
-        // A retry would run the request again for an answer that most likely finds the memory full as well.
-        if (result.cause == LossCause.NO_MEMORY) return ifNothingRuns { evidence.uncertain(Outcome.NO_MEMORY) }
-        val retried = if (route.kind.retryable) retry(RetryReason.LOST) else null
-        return retried ?: ifNothingRuns { evidence.uncertain(Outcome.LOST) }
-    }
-
     private suspend fun CoroutineScope.onAnswered(result: AttemptResult.Answered): RequestResult? {
         evidence.mayHaveRun = true
         if (result.status < FIRST_SERVER_ERROR || !route.kind.retryable) return evidence.forward(result)
