Log attempts that may have ended an upstream, and why one is dropped

A loss that was dropped because the upstream accepted a connection left no line, so a loss that was never seen looked the same as one that was dropped.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/CrashDetector.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/CrashDetector.kt
@@ -6,6 +6,8 @@
 import io.poplarwood.gateway.decision.crash.AbandonedAttempts
 import io.poplarwood.gateway.decision.crash.CrashLoss
 import io.poplarwood.gateway.decision.crash.CrashSuspects
+import io.poplarwood.gateway.log.EventLog
+import io.poplarwood.gateway.log.GatewayEvent
 import io.poplarwood.gateway.upstream.AvailabilityState
 import io.poplarwood.gateway.upstream.UpstreamRow
 import kotlinx.coroutines.CoroutineScope
@@ -26,6 +28,7 @@
     private val random: RandomSource,
     private val ticker: Ticker,
     private val scope: CoroutineScope,
+    private val log: EventLog,
     private val announce: (fingerprint: Long, loss: CrashLoss) -> Unit,
 ) {
     private val abandonedRuns = AbandonedAttempts()
@@ -46,7 +49,10 @@
     fun requestAbandoned(row: UpstreamRow, fingerprint: Long, since: Duration, now: Duration) {
         val run = AbandonedAttempt(fingerprint, row.id, since, now)
         val abandonedBefore = abandonedRuns.add(run)
-        if (abandonedBefore || crashes.lossCount(fingerprint) > 0) watch(row, run)
+        val losses = crashes.lossCount(fingerprint)
+        if (!abandonedBefore && losses == 0) return
+        log.log(GatewayEvent.CRASH_EXPOSED, hex(fingerprint), row.id, "abandoned", losses)
+        watch(row, run)
     }
 
     /** Checks [row] repeatedly, since it may crash some time after [run] was abandoned. */
@@ -63,6 +69,7 @@
                         recordAbandonedLosses(row, ticker.now())
                     }
                 }
+                if (abandonedRuns.contains(run)) logDismissed(run.fingerprint, row, "accepts connections until now")
             } finally {
                 watchedCount--
             }
@@ -85,7 +92,10 @@
     }
 
     private suspend fun verifyLoss(row: UpstreamRow, fingerprint: Long, loss: CrashLoss) {
-        if (!livenessCheck.hasEnded(row)) return crashes.removeLoss(fingerprint, loss.id)
+        if (!livenessCheck.hasEnded(row)) {
+            logDismissed(fingerprint, row, "accepts connections")
+            return crashes.removeLoss(fingerprint, loss.id)
+        }
         if (crashes.confirm(fingerprint, loss.id, ticker.now())) announce(fingerprint, loss.copy(confirmed = true))
         recordAbandonedLosses(row, loss.lostAt)
     }
@@ -97,6 +107,11 @@
         }
     }
 
+    private fun logDismissed(fingerprint: Long, row: UpstreamRow, reason: String) =
+        log.log(GatewayEvent.CRASH_DISMISSED, hex(fingerprint), row.id, reason)
+
+    private fun hex(fingerprint: Long) = java.lang.Long.toHexString(fingerprint)
+
     private companion object {
         /** An upstream that ends later than this after a request was abandoned is not a loss under that request. */
         val ABANDONED_LOSS_WINDOW = 2.seconds
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestPath.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestPath.kt
@@ -76,6 +76,7 @@
         runtime.random,
         ticker,
         runtime.scope,
+        runtime.log,
         peers.gossip.crashGossip::announceLoss,
     )
     val requestHandler = RequestHandler(
