--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/CrashRow.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/CrashRow.kt
@@ -1,8 +1,9 @@
 package io.poplarwood.gateway.decision.crash
 
+import io.poplarwood.gateway.upstream.IncarnationId
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
-import kotlin.time.Duration.Companion.seconds
 
 /** Losses of upstreams under requests with one fingerprint. */
 internal class CrashRow {
@@ -18,50 +19,64 @@
     var refusalReported = false
 
     /** Whether enough upstreams are known to have ended. */
-    val refused: Boolean get() = consecutive { it.confirmed } >= CrashSuspects.LIMIT
+    val refused: Boolean get() = separateEnds { it.ended } >= CrashSuspects.LIMIT
+
+    /** Whether this row is kept in the store. */
+    val recorded: Boolean get() = separateEnds { it.ended } >= SHARE_THRESHOLD
 
     /** Whether this row is kept synchronized between entries. */
-    val rowsToSync: Boolean get() = consecutive { it.confirmed } >= SHARE_THRESHOLD
+    val rowsToSync: Boolean get() = recorded || held
+
+    private val held: Boolean get() = separateEnds { it.counts } >= CrashSuspects.LIMIT
+
+    /**
+     * Whether several upstreams ended at the same moment, so that it is open whether the request or something else
+     * ended them.
+     */
+    val ambiguous: Boolean
+        get() = !refused && losses.values.filter { it.ended }.distinctBy { it.upstream }.size >= CrashSuspects.LIMIT
 
     /** Whether a request with this fingerprint may be sent. */
-    fun verdict(now: Duration): CrashVerdict = when {
+    fun verdict(): CrashVerdict = when {
         refused -> CrashVerdict.REFUSED
-        consecutive {
-            it.confirmed || now - it.lostAt <= CONFIRMATION_TIMEOUT
-        } >= CrashSuspects.LIMIT -> CrashVerdict.HELD
+        held -> CrashVerdict.HELD
         else -> CrashVerdict.ADMITTED
     }
 
-    /** Whether this row no longer holds information. Also removes losses that were not confirmed in time. */
-    fun isExpired(now: Duration): Boolean {
-        losses.values.removeIf { !it.confirmed && now - it.lostAt > CONFIRMATION_TIMEOUT }
-        return now - seenAt > CrashSuspects.EXPIRY || (losses.isEmpty() && now - clearedAt > CLEARED_RETENTION)
-    }
+    /** Whether this row no longer holds information. */
+    fun isExpired(now: Duration): Boolean =
+        now - seenAt > CrashSuspects.EXPIRY || (losses.isEmpty() && now - clearedAt > CLEARED_RETENTION)
 
     /** Digest of what other entries should know of this row. */
-    fun digest(): Long = if (refused) 1 else losses.values.filter { it.confirmed }.sumOf { it.id }
+    fun digest(): Long = if (refused) 1 else losses.values.filter { it.counts }.sumOf { it.id }
 
     /**
-     * Number of consecutive losses among those that [counts] selects, each at an attempt that began after the previous
-     * loss. Upstreams that end at the same moment while they execute equal requests count as one loss, since something
-     * else may have ended them.
+     * Number of upstreams that ended, or may have, one after the other, among the losses that [include] selects. One
+     * end is counted once, however many attempts it cut. Ends of several upstreams at the same moment are counted once,
+     * since something else may have ended them.
      */
-    private inline fun consecutive(counts: (CrashLoss) -> Boolean): Int {
-        var previousAt = -Duration.INFINITE
+    private inline fun separateEnds(include: (CrashLoss) -> Boolean): Int {
+        val lastOf = HashMap<IncarnationId, CrashLoss>()
+        var lastSeen: CrashLoss? = null
         var count = 0
-        for (loss in losses.values.filter(counts).sortedBy { it.lostAt }) {
-            if (loss.exposedSince < previousAt) continue
+        for (loss in losses.values.filter(include).sortedBy { it.lostAt }) {
+            val sameEnd = lastOf[loss.upstream]?.let { loss.sentAt < it.lostAt } ?: false
+            if (sameEnd || (loss.endSeen && lastSeen?.let { isSameMoment(it, loss) } == true)) continue
+            lastOf[loss.upstream] = loss
+            if (loss.endSeen) lastSeen = loss
             count++
-            previousAt = loss.lostAt
         }
         return count
     }
 
+    private fun isSameMoment(first: CrashLoss, second: CrashLoss) =
+        second.sentAt < first.lostAt && second.lostAt - first.lostAt <= SAME_MOMENT
+
     private companion object {
         const val SHARE_THRESHOLD = 2
 
-        /** Time within which it is confirmed whether an upstream has ended. */
-        val CONFIRMATION_TIMEOUT = 1.seconds
+        /** What ends several upstreams at once, such as a loss of power, ends them within this time. */
+        val SAME_MOMENT = 100.milliseconds
 
         /** Other entries may still report losses that were cleared up to this long ago. */
         val CLEARED_RETENTION = 1.minutes
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/CrashSuspects.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/CrashSuspects.kt
@@ -1,5 +1,6 @@
 package io.poplarwood.gateway.decision.crash
 
+import io.poplarwood.gateway.upstream.IncarnationId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
@@ -7,17 +8,21 @@
 /**
  * Losses of upstreams by the fingerprint of the request that they were executing.
  *
- * A request that crashes every upstream that executes it, and that callers retry, is refused after [LIMIT] upstreams in
- * a row, counted over all entries. A connection that breaks under a common request says little, so a loss counts
- * permanently only when it is confirmed that the upstream itself has ended, and briefly until then. An answer to a
- * request with the fingerprint clears its losses.
+ * A request that crashes every upstream that executes it, and that callers retry, is refused after [LIMIT] upstreams,
+ * counted over all entries. Whether an upstream has ended may be known late or never, so an attempt without an answer
+ * counts until its upstream is shown to be running since before the attempt. An answer to a request with the
+ * fingerprint clears its losses.
  */
 internal class CrashSuspects {
     private val rows = LinkedHashMap<Long, CrashRow>()
+    private val ended = EndedIncarnations()
     private var nextExpiryAt = -Duration.INFINITE
 
-    /** Called when requests with a fingerprint are no longer refused. */
-    var onReadmitted: (fingerprint: Long) -> Unit = {}
+    /** Called when requests with a fingerprint no longer have to be known to entries that start. */
+    var onCleared: (fingerprint: Long) -> Unit = {}
+
+    /** Called with each loss whose upstream was shown to be running, and with what showed it. */
+    var onDismissed: (fingerprint: Long, loss: CrashLoss, reason: String) -> Unit = { _, _, _ -> }
 
     /**
      * Records [loss] of a request with [fingerprint] that last arrived at [seenAt]; returns false when the loss was
@@ -28,26 +33,75 @@
         row.seenAt = maxOf(row.seenAt, seenAt)
         if (loss.lostAt <= row.clearedAt) return false
         val known = row.losses[loss.id]
-        if (known != null && (known.confirmed || !loss.confirmed)) return false
-        row.losses[loss.id] = loss
-        if (rows.size > MAX_FINGERPRINTS) evict(seenAt)
+        if (known != null && (known.ended || !loss.ended)) return false
+        row.losses[loss.id] = if (ended.contains(loss)) loss.copy(fate = UpstreamFate.ENDED) else loss
+        if (rows.size > MAX_FINGERPRINTS) evict()
         return true
     }
 
+    /** The loss [id] under requests with [fingerprint]; null when it was cleared or dismissed. */
+    fun loss(fingerprint: Long, id: Long): CrashLoss? = rows[fingerprint]?.losses?.get(id)
+
+    /** Records that the upstream of the loss [id] accepts connections, so that the loss does not count for now. */
+    fun presumeRunning(fingerprint: Long, id: Long) {
+        val row = rows[fingerprint] ?: return
+        val loss = row.losses[id]?.takeIf { it.fate == UpstreamFate.UNKNOWN } ?: return
+        row.losses[id] = loss.copy(fate = UpstreamFate.PRESUMED_RUNNING)
+        onDismissed(fingerprint, loss, "accepts connections")
+    }
+
+    /** Removes the loss [id], because its attempt was answered after all. */
+    fun removeLoss(fingerprint: Long, id: Long): Boolean = rows[fingerprint]?.losses?.remove(id) != null
+
     /**
-     * Confirms that the upstream of the loss [id] has ended; returns false when an answer has cleared the loss
-     * meanwhile.
+     * Records at [now] that the incarnation [upstream] has ended; returns the losses by fingerprint for which this is
+     * new.
      */
-    fun confirm(fingerprint: Long, id: Long, now: Duration): Boolean {
-        val loss = rows[fingerprint]?.losses?.get(id) ?: return false
-        return recordLoss(fingerprint, loss.copy(confirmed = true), now)
+    fun upstreamEnded(upstream: IncarnationId, now: Duration): List<Pair<Long, CrashLoss>> {
+        ended.add(upstream, now)
+        val changed = ArrayList<Pair<Long, CrashLoss>>()
+        for ((fingerprint, row) in rows) {
+            for (loss in row.losses.values.filter { it.upstream == upstream && !it.ended && it.sentAt <= now }) {
+                val endedLoss = loss.copy(fate = UpstreamFate.ENDED)
+                row.losses[loss.id] = endedLoss
+                changed += fingerprint to endedLoss
+            }
+        }
+        return changed
     }
 
-    /** Removes the loss [id], because the upstream is still running. */
-    fun removeLoss(fingerprint: Long, id: Long) {
-        rows[fingerprint]?.losses?.remove(id)
+    /**
+     * Records that the incarnation [upstream] sent at [now] an answer on a connection opened at [openedAt]: it has run
+     * since then.
+     */
+    fun upstreamAnswered(upstream: IncarnationId, openedAt: Duration, now: Duration) =
+        dismiss("answered on an older connection") {
+            it.upstream == upstream && openedAt <= it.sentAt && it.runsUntil <= now
+        }
+
+    /**
+     * Dismisses losses whose upstream would no longer be registered as that incarnation at [confirmedAt] if it had
+     * ended.
+     */
+    fun dismissRegistered(confirmedAt: Duration, expiry: Duration) = dismiss("still registered") {
+        it.runsUntil + expiry <= confirmedAt
     }
 
+    private inline fun dismiss(reason: String, isRunning: (CrashLoss) -> Boolean) {
+        if (rows.isEmpty()) return
+        for ((fingerprint, row) in rows) {
+            if (row.losses.isEmpty()) continue
+            for (loss in row.losses.values.filter { !it.ended && isRunning(it) }) {
+                row.losses.remove(loss.id)
+                onDismissed(fingerprint, loss, reason)
+            }
+        }
+    }
+
+    /** Whether losses wait for what becomes of [upstream]. */
+    fun hasOpenLosses(upstream: IncarnationId): Boolean =
+        rows.values.any { row -> row.losses.values.any { it.upstream == upstream && !it.ended } }
+
     /**
      * Records that a request with [fingerprint] was answered at [at]; returns the number of losses that this clears.
      * The time is retained for a while, since other entries may still report these losses.
@@ -55,28 +109,32 @@
     fun recordAnswer(fingerprint: Long, at: Duration): Int {
         val row = (if (rows.isEmpty()) null else rows[fingerprint]) ?: return 0
         val before = row.losses.size
-        val refused = row.refused
-        if (row.rowsToSync) row.clearedAt = maxOf(row.clearedAt, at)
+        val recorded = row.recorded
+        if (row.rowsToSync || before > 1) row.clearedAt = maxOf(row.clearedAt, at)
         row.losses.values.removeIf { it.lostAt <= at }
-        if (refused && !row.refused) {
-            row.refusalReported = false
-            onReadmitted(fingerprint)
-        }
+        if (!row.refused) row.refusalReported = false
+        if (recorded && !row.recorded) onCleared(fingerprint)
         return before - row.losses.size
     }
 
-    /** Number of upstreams that seem to have ended under requests with [fingerprint]. */
-    fun lossCount(fingerprint: Long): Int = rows[fingerprint]?.losses?.size ?: 0
+    /** Number of upstreams that ended, or may have, under requests with [fingerprint]. */
+    fun lossCount(fingerprint: Long): Int = rows[fingerprint]?.losses?.values?.count { it.counts } ?: 0
 
     /** Whether a request with [fingerprint] that arrived at [now] may be sent. */
     fun verdict(fingerprint: Long, now: Duration): CrashVerdict {
         expire(now)
         val row = rows[fingerprint] ?: return CrashVerdict.ADMITTED
-        val verdict = row.verdict(now)
+        val verdict = row.verdict()
         if (verdict == CrashVerdict.REFUSED) row.seenAt = maxOf(row.seenAt, now)
         return verdict
     }
 
+    /**
+     * Whether several upstreams ended at the same moment under requests with [fingerprint], so that such requests may
+     * only be sent one at a time.
+     */
+    fun isAmbiguous(fingerprint: Long): Boolean = rows[fingerprint]?.ambiguous ?: false
+
     /** Whether requests with [fingerprint] have become refused since the last call. */
     fun becameRefused(fingerprint: Long): Boolean {
         val row = rows[fingerprint] ?: return false
@@ -85,6 +143,9 @@
         return true
     }
 
+    /** Whether losses under requests with [fingerprint] have to be known to entries that start. */
+    fun isRecorded(fingerprint: Long): Boolean = rows[fingerprint]?.recorded ?: false
+
     /** Rows to synchronize between entries, by fingerprint. Single losses are announced once and not synchronized. */
     fun rowsToSync(now: Duration): Map<Long, CrashRow> {
         expire(now)
@@ -105,7 +166,7 @@
         val expired = rows.filterValues { it.isExpired(now) }
         for ((fingerprint, row) in expired) {
             rows.remove(fingerprint)
-            if (row.refused) onReadmitted(fingerprint)
+            if (row.recorded) onCleared(fingerprint)
         }
     }
 
@@ -113,15 +174,13 @@
      * Removes one row to make room: rows that are not refused first, and among equals the one with the oldest
      * [CrashRow.seenAt].
      */
-    private fun evict(now: Duration) {
-        val oldest = rows.entries.minWith(
-            compareBy({ it.value.verdict(now) == CrashVerdict.REFUSED }, { it.value.seenAt }),
-        )
+    private fun evict() {
+        val oldest = rows.entries.minWith(compareBy({ it.value.refused }, { it.value.seenAt }))
         rows.remove(oldest.key)
     }
 
     companion object {
-        /** Consecutive upstreams that end under a request before it is refused. */
+        /** Upstreams that end under a request before it is refused. */
         const val LIMIT: Int = 3
 
         /** A row without a new loss or refusal for this long is dropped. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/CrashVerdict.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/CrashVerdict.kt
@@ -5,7 +5,7 @@
     /** No reason to refuse the request. */
     ADMITTED,
 
-    /** Several upstreams were just lost under the request; whether they have crashed is not yet confirmed. */
+    /** Several upstreams may have crashed under the request; whether they did is not known yet. */
     HELD,
 
     /** Several upstreams have crashed under the request. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnection.kt
@@ -51,6 +51,9 @@
     /** Whether a late response was skipped; more of them may follow, so the connection is not reused. */
     private var lateResponseSeen = false
 
+    /** When the upstream accepted this connection. */
+    var openedAt: Duration = Duration.INFINITE
+
     override var idleSince: Duration = ticker.now()
         private set
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnectionPool.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnectionPool.kt
@@ -39,10 +39,17 @@
      * Sends [outbound] to the upstream at [address] and waits for the result. Cancellation closes the connection.
      *
      * @param maxIdle a pooled connection that has been idle for longer is not reused
+     * @param onConnected called with the time at which the connection that is used was opened
      */
-    suspend fun exchange(address: String, outbound: UpstreamRequest, maxIdle: Duration): AttemptResult {
+    suspend fun exchange(
+        address: String,
+        outbound: UpstreamRequest,
+        maxIdle: Duration,
+        onConnected: (openedAt: Duration) -> Unit = {},
+    ): AttemptResult {
         val connection =
             idle[address]?.take(ticker.now(), maxIdle) ?: connect(address) ?: return AttemptResult.NotSent
+        onConnected(connection.openedAt)
         return suspendCancellableCoroutine { continuation ->
             continuation.invokeOnCancellation { connection.close() }
             connection.send(outbound) { if (continuation.isActive) continuation.resume(it) }
@@ -91,6 +98,7 @@
                 if (!continuation.isActive) return@addListener
                 attempt.cause()?.let { onFailure(resultOf(it)) }
                 val connected = connection?.takeIf { attempt.isSuccess }
+                connected?.openedAt = ticker.now()
                 if (connected != null) open.getOrPut(address) { HashSet() } += connected
                 continuation.resume(connected) { _, unused, _ -> unused?.close() }
             }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/CrashGossip.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/CrashGossip.kt
@@ -4,8 +4,11 @@
 import io.poplarwood.gateway.decision.crash.CrashLoss
 import io.poplarwood.gateway.decision.crash.CrashRow
 import io.poplarwood.gateway.decision.crash.CrashSuspects
+import io.poplarwood.gateway.decision.crash.CrashVerdict
+import io.poplarwood.gateway.decision.crash.UpstreamFate
 import io.poplarwood.gateway.log.EventLog
 import io.poplarwood.gateway.log.GatewayEvent
+import io.poplarwood.gateway.upstream.IncarnationId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -31,16 +34,36 @@
     /** Hash of the crash records that every entry should know; equal at entries with the same records. */
     val digest: Long get() = crashes.digest(ticker.now())
 
-    /** Called when a loss that this entry observed itself makes it refuse a request from now on. */
-    var onRefused: (CrashSuspectUpdate) -> Unit = {}
+    /**
+     * Called when a loss that this entry observed itself makes requests with a fingerprint known to end upstreams: with
+     * the second end, and when they are refused from now on.
+     */
+    var onRecorded: (CrashSuspectUpdate) -> Unit = {}
 
-    /** Announces [loss] under requests with [fingerprint] to all live entries. */
+    /**
+     * Announces [loss] under requests with [fingerprint] to all live entries, or to those that take callers while it is
+     * not known whether the upstream has ended.
+     */
     fun announceLoss(fingerprint: Long, loss: CrashLoss) {
         logLoss(fingerprint, loss, self)
         val update = CrashSuspectUpdate(fingerprint, listOf(updateOf(loss, ticker.now())))
-        send(PeerMessage.CrashUpdate(self, listOf(update)), table.live.map { it.record.peers })
+        send(PeerMessage.CrashUpdate(self, listOf(update)), addresses(if (loss.ended) table.live else table.active))
     }
 
+    /** Announces that the upstream of the loss [id], which was announced before, replied after all. */
+    fun announceReplied(fingerprint: Long, id: Long) {
+        val update = CrashSuspectUpdate(fingerprint, emptyList(), replied = listOf(id))
+        send(PeerMessage.CrashUpdate(self, listOf(update)), addresses(table.active))
+    }
+
+    private fun addresses(peers: List<PeerStatus>) = peers.map { it.record.peers }
+
+    /**
+     * Whether this entry is the one that sends requests with [fingerprint] while it is open whether they end upstreams.
+     */
+    fun isKeeper(fingerprint: Long): Boolean =
+        RendezvousHash.select(table.active.map { it.name } + self, fingerprint) == self
+
     /** Sends records to the entry at [peer] unless its [digest] matches the own one. */
     fun sendIfDifferent(digest: Long, peer: String) {
         if (digest == this.digest) {
@@ -75,6 +98,7 @@
     fun merge(suspect: CrashSuspectUpdate, from: String) {
         val now = ticker.now()
         suspect.clearedMs?.let { crashes.recordAnswer(suspect.fingerprint, now - it.milliseconds) }
+        suspect.replied.forEach { crashes.removeLoss(suspect.fingerprint, it) }
         for (lossUpdate in suspect.losses) {
             val loss = toLoss(lossUpdate, now)
             val isNew = crashes.recordLoss(suspect.fingerprint, loss, now - suspect.seenMs.milliseconds)
@@ -83,32 +107,50 @@
     }
 
     private fun updateOf(fingerprint: Long, row: CrashRow, now: Duration = ticker.now()): CrashSuspectUpdate {
-        val losses = row.losses.values.filter { it.confirmed }.take(MAX_LOSSES_PER_UPDATE).map { updateOf(it, now) }
+        val losses = row.losses.values.filter { it.counts }.sortedByDescending { it.ended }
+            .take(MAX_LOSSES_PER_UPDATE).map { updateOf(it, now) }
         val cleared = if (row.clearedAt.isInfinite()) null else (now - row.clearedAt).inWholeMilliseconds
         return CrashSuspectUpdate(fingerprint, losses, (now - row.seenAt).inWholeMilliseconds, cleared)
     }
 
-    private fun updateOf(loss: CrashLoss, now: Duration): CrashLossUpdate {
-        val since = (now - loss.exposedSince).inWholeMilliseconds
-        return CrashLossUpdate(loss.id, loss.upstream, since, (now - loss.lostAt).inWholeMilliseconds, loss.confirmed)
-    }
+    private fun updateOf(loss: CrashLoss, now: Duration) = CrashLossUpdate(
+        loss.id,
+        loss.upstream.id,
+        (now - loss.sentAt).inWholeMilliseconds,
+        (now - loss.lostAt).inWholeMilliseconds,
+        loss.ended,
+        loss.upstream.startMs,
+        loss.endSeen,
+        (loss.runsUntil - now).inWholeMilliseconds,
+    )
 
-    private fun toLoss(update: CrashLossUpdate, now: Duration): CrashLoss {
-        val since = now - update.sinceMs.milliseconds
-        return CrashLoss(update.id, update.upstream, since, now - update.agoMs.milliseconds, update.confirmed)
-    }
+    private fun toLoss(update: CrashLossUpdate, now: Duration) = CrashLoss(
+        update.id,
+        IncarnationId(update.upstream, update.startMs),
+        now - update.sinceMs.milliseconds,
+        now - update.agoMs.milliseconds,
+        if (update.confirmed) UpstreamFate.ENDED else UpstreamFate.UNKNOWN,
+        update.endSeen,
+        now + update.runsForMs.milliseconds,
+    )
 
     private fun logLoss(fingerprint: Long, loss: CrashLoss, source: String) {
         val hex = java.lang.Long.toHexString(fingerprint)
         val losses = crashes.lossCount(fingerprint)
-        log.log(GatewayEvent.CRASH_SUSPECT, hex, loss.upstream, loss.confirmed, losses, source)
-        if (!crashes.becameRefused(fingerprint)) return
-        log.log(GatewayEvent.CRASH_REFUSED, hex, losses)
-        if (source == self) {
-            onRefused(crashes.rowsToSync(ticker.now()).getValue(fingerprint).let { updateOf(fingerprint, it) })
+        if (loss.ended || losses > 1) {
+            log.log(GatewayEvent.CRASH_SUSPECT, hex, loss.upstream.id, loss.ended, losses, source)
         }
+        val becameRefused = crashes.becameRefused(fingerprint)
+        if (becameRefused) log.log(GatewayEvent.CRASH_REFUSED, hex, losses)
+        if (source != self || !loss.ended || !crashes.isRecorded(fingerprint)) return
+        val isSecondEnd = crashes.verdict(fingerprint, ticker.now()) != CrashVerdict.REFUSED
+        if (becameRefused || isSecondEnd) recordOf(fingerprint)?.let(onRecorded)
     }
 
+    /** What entries that start have to know of requests with [fingerprint]; null when that is nothing. */
+    private fun recordOf(fingerprint: Long): CrashSuspectUpdate? =
+        crashes.rowsToSync(ticker.now())[fingerprint]?.let { updateOf(fingerprint, it) }
+
     private companion object {
         /** Further records are sent in response to a later heartbeat. */
         const val MAX_ROWS_PER_HEARTBEAT = 8
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/IssuerSelection.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/IssuerSelection.kt
@@ -28,7 +28,8 @@
     fun requestLifetime(): Duration = maxOf(MIN_REQUEST_LIFETIME, REQUEST_SPACING * candidateCount)
 
     /** Name of the entry that issues the permits of [upstream]. */
-    fun issuerOf(upstream: IncarnationId): String = currentCandidates().maxBy { weight(it, upstream.id) }
+    fun issuerOf(upstream: IncarnationId): String =
+        RendezvousHash.select(currentCandidates(), upstream.id.hashCode().toLong())
 
     private fun currentCandidates(): List<String> {
         val now = ticker.now()
@@ -39,23 +40,11 @@
         return candidates
     }
 
-    private fun weight(entry: String, upstream: String): Long {
-        var bits = entry.hashCode().toLong() * ENTRY_FACTOR + upstream.hashCode()
-        bits = (bits xor (bits ushr 30)) * MIX_FACTOR_1
-        bits = (bits xor (bits ushr 27)) * MIX_FACTOR_2
-        return bits xor (bits ushr 31)
-    }
-
     private companion object {
         val REFRESH_INTERVAL = 50.milliseconds
         val MIN_REQUEST_LIFETIME = 500.milliseconds
 
         /** Mean time between two requests for permits of one upstream when all entries ask for them. */
         val REQUEST_SPACING = 10.milliseconds
-
-        /** Odd 64-bit constants that spread similar names. */
-        const val ENTRY_FACTOR = -0x61c8864680b583ebL
-        const val MIX_FACTOR_1 = -0x40a7b892e31b1a47L
-        const val MIX_FACTOR_2 = -0x6b2fb644ecceee15L
     }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Attempt.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Attempt.kt
@@ -1,7 +1,6 @@
 package io.poplarwood.gateway.runtime
 
 import io.poplarwood.gateway.http.AttemptResult
-import io.poplarwood.gateway.http.LossCause
 import io.poplarwood.gateway.upstream.AvailabilityState
 import io.poplarwood.gateway.upstream.UpstreamRow
 import kotlin.time.Duration
@@ -15,19 +14,15 @@
     var result: AttemptResult? = null
     var endedAt: Duration? = null
 
-    /**
-     * From when a loss of the upstream counts against this request: when the attempt was sent or, if that is later,
-     * when another attempt of the same request was lost.
-     */
-    var lossWindowStart: Duration = sentAt
+    /** When the connection that carries this attempt was opened; null until there is one. */
+    var connectedAt: Duration? = null
+
+    /** Identifies this attempt among those that may end their upstream. */
+    var lossId: Long = 0
 
     /** Requests in flight at the upstream when this attempt was sent, including this one. */
     val inFlightAtStart: Int = row.inFlight
 
-    /** Whether the result may be due to the loss of the upstream, and not to a lack of memory at this entry. */
-    val mayHaveLostUpstream: Boolean
-        get() = (result as? AttemptResult.Lost)?.let { it.cause != LossCause.NO_MEMORY } ?: false
-
     /** The attempt as one word of the `trail` log field. */
     fun describe(): String {
         val took = endedAt?.let { "+${(it - sentAt).inWholeMilliseconds}ms" } ?: ""
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/AttemptFeedback.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/AttemptFeedback.kt
@@ -1,6 +1,7 @@
 package io.poplarwood.gateway.runtime
 
 import io.poplarwood.gateway.decision.OutcomeRecorder
+import io.poplarwood.gateway.decision.crash.CrashVerdict
 import io.poplarwood.gateway.http.AttemptResult
 import io.poplarwood.gateway.http.LossCause
 import io.poplarwood.gateway.http.NotExecutedCause
@@ -23,17 +24,25 @@
     private val log: EventLog,
     private val droppedAnswers: DroppedAnswers,
 ) {
+    /** Records that [attempt] of a request with [fingerprint] is sent, whose caller waits until [deadline]. */
+    fun attemptStarted(attempt: Attempt, fingerprint: Long, deadline: Duration) =
+        crashes.attemptStarted(attempt, fingerprint, deadline)
+
+    /** Whether a request with [fingerprint] may be sent. */
+    fun crashVerdict(fingerprint: Long, now: Duration): CrashVerdict = crashes.verdict(fingerprint, now)
+
     /** Records the result of [attempt], which belongs to a request with [fingerprint]. */
     fun record(attempt: Attempt, route: Route, fingerprint: Long) {
         val row = attempt.row
         val now = checkNotNull(attempt.endedAt)
+        if (attempt.result !is AttemptResult.Lost) crashes.attemptReplied(attempt, now)
         when (val result = attempt.result) {
             is AttemptResult.Answered -> onAnswered(attempt, result, route, fingerprint, now)
             is AttemptResult.NotExecuted -> onNotExecuted(attempt, result, now)
             is AttemptResult.Lost -> onLost(attempt, result.cause, fingerprint, now)
             AttemptResult.NotSent -> {
                 updateSuspicion(attempt, now) { recordLoss(row, now) }
-                crashes.connectFailed(row, now)
+                crashes.connectFailed(row)
             }
             null -> Unit
         }
@@ -41,9 +50,16 @@
 
     private fun onLost(attempt: Attempt, cause: LossCause, fingerprint: Long, now: Duration) {
         // Says nothing about the upstream, good or bad.
-        if (cause == LossCause.NO_MEMORY) return droppedAnswers.record(now)
+        if (cause == LossCause.NO_MEMORY) {
+            crashes.attemptReplied(attempt, now)
+            return droppedAnswers.record(now)
+        }
         updateSuspicion(attempt, now) { recordLoss(attempt.row, now) }
-        if (cause != LossCause.GARBLED) crashes.linkLost(attempt.row, fingerprint, attempt.lossWindowStart, now)
+        if (cause == LossCause.GARBLED) {
+            crashes.replyGarbled(attempt, fingerprint, now)
+        } else {
+            crashes.linkLost(attempt, fingerprint, now)
+        }
     }
 
     private inline fun updateSuspicion(attempt: Attempt, now: Duration, change: OutcomeRecorder.() -> Unit) =
@@ -51,9 +67,12 @@
             decisions.suspicion.change()
         }
 
+    /** Records that another attempt of the request of [attempt] was answered. */
+    fun attemptNotNeeded(attempt: Attempt) = crashes.attemptNotNeeded(attempt)
+
     /** Records that a request with [fingerprint] ended without an answer while [attempt] was running. */
     fun attemptAbandoned(attempt: Attempt, fingerprint: Long, now: Duration) =
-        crashes.requestAbandoned(attempt.row, fingerprint, attempt.lossWindowStart, now)
+        crashes.requestAbandoned(attempt, fingerprint, now)
 
     private fun onAnswered(
         attempt: Attempt,
@@ -91,6 +110,7 @@
         val row = attempt.row
         recordSlowness(row, result.load, now)
         if (result.cause == NotExecutedCause.OTHER_UPSTREAM) {
+            crashes.upstreamEnded(row)
             availability.update(row, AvailabilityInput.AddressConflict, now)
         } else {
             applyNotice(attempt, result.notice, now, endsLimit = false)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/CrashDetector.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/CrashDetector.kt
@@ -2,12 +2,14 @@
 
 import io.poplarwood.api.random.RandomSource
 import io.poplarwood.api.time.Ticker
-import io.poplarwood.gateway.decision.crash.AbandonedAttempt
-import io.poplarwood.gateway.decision.crash.AbandonedAttempts
 import io.poplarwood.gateway.decision.crash.CrashLoss
 import io.poplarwood.gateway.decision.crash.CrashSuspects
+import io.poplarwood.gateway.decision.crash.CrashVerdict
+import io.poplarwood.gateway.decision.crash.RunningAttempts
+import io.poplarwood.gateway.decision.crash.UpstreamFate
 import io.poplarwood.gateway.log.EventLog
 import io.poplarwood.gateway.log.GatewayEvent
+import io.poplarwood.gateway.peer.CrashGossip
 import io.poplarwood.gateway.upstream.AvailabilityState
 import io.poplarwood.gateway.upstream.UpstreamRow
 import kotlinx.coroutines.CoroutineScope
@@ -18,58 +20,128 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Detects upstreams that ended while they ran a request, and announces these losses to the other entries.
+ * Records each attempt that may have ended its upstream, and what becomes of the upstream, and tells other entries.
  *
- * @param announce sends a loss to the other entries
+ * An attempt counts as a loss when its connection breaks, when its request ends before an answer, or when it lasts for
+ * [RunningAttempts.MAX_SILENCE]. The loss is dismissed when its upstream answers on a connection that is older than the
+ * attempt, or when the registration of the upstream should have expired and has not.
+ *
+ * @param registrationExpiry time after which the registration of an upstream that has ended is gone
  */
 internal class CrashDetector(
     private val crashes: CrashSuspects,
+    private val gossip: CrashGossip,
     private val livenessCheck: LivenessCheck,
     private val random: RandomSource,
     private val ticker: Ticker,
     private val scope: CoroutineScope,
     private val log: EventLog,
-    private val announce: (fingerprint: Long, loss: CrashLoss) -> Unit,
+    private val registrationExpiry: Duration,
 ) {
-    private val abandonedRuns = AbandonedAttempts()
+    private val running = RunningAttempts()
+    private val unannounced = ArrayDeque<Pair<Long, CrashLoss>>()
     private var watchedCount = 0
 
-    /** Records that an attempt at [row] of a request with [fingerprint], running since [since], lost its connection. */
-    fun linkLost(row: UpstreamRow, fingerprint: Long, since: Duration, now: Duration) {
+    init {
+        crashes.onDismissed = { fingerprint, loss, reason ->
+            val hex = java.lang.Long.toHexString(fingerprint)
+            if (loss.counts) log.log(GatewayEvent.CRASH_DISMISSED, hex, loss.upstream.id, reason)
+        }
+    }
+
+    /**
+     * Whether a request with [fingerprint] may be sent. Where it is open whether such requests end upstreams, one entry
+     * sends one at a time.
+     */
+    fun verdict(fingerprint: Long, now: Duration): CrashVerdict {
+        val verdict = crashes.verdict(fingerprint, now)
+        if (verdict != CrashVerdict.ADMITTED || !crashes.isAmbiguous(fingerprint)) return verdict
+        val maySend = running.count(fingerprint) == 0 && gossip.isKeeper(fingerprint)
+        return if (maySend) CrashVerdict.ADMITTED else CrashVerdict.HELD
+    }
+
+    /** Records that [attempt] of a request with [fingerprint] is sent, whose caller waits until [deadline]. */
+    fun attemptStarted(attempt: Attempt, fingerprint: Long, deadline: Duration) {
+        val loss = CrashLoss(
+            random.nextLong(),
+            attempt.row.incarnation,
+            attempt.sentAt,
+            attempt.sentAt + RunningAttempts.MAX_SILENCE,
+            UpstreamFate.UNKNOWN,
+            endSeen = false,
+            runsUntil = deadline,
+        )
+        attempt.lossId = loss.id
+        running.add(fingerprint, loss)
+    }
+
+    /** Records that [attempt] got a reply of its upstream, or was never sent. */
+    fun attemptReplied(attempt: Attempt, now: Duration) {
+        attemptNotNeeded(attempt)
+        val openedAt = attempt.connectedAt ?: return
+        crashes.upstreamAnswered(attempt.row.incarnation, openedAt, now)
+    }
+
+    /** Records that the request of [attempt] was answered. */
+    fun attemptNotNeeded(attempt: Attempt) {
+        val silent = running.remove(attempt.lossId)?.takeIf { it.exposed } ?: return
+        if (crashes.removeLoss(silent.fingerprint, silent.loss.id)) {
+            gossip.announceReplied(silent.fingerprint, silent.loss.id)
+        }
+    }
+
+    /** Records that [attempt] of a request with [fingerprint] lost its connection at [now]. */
+    fun linkLost(attempt: Attempt, fingerprint: Long, now: Duration) {
+        val loss = running.remove(attempt.lossId)?.loss ?: return
+        val row = attempt.row
         if (row.availability.state(now) == AvailabilityState.LEAVING) return
-        val loss = CrashLoss(random.nextLong(), row.id, since, now, confirmed = false)
+        val lost = loss.copy(lostAt = now, endSeen = true, runsUntil = now)
         val firstLoss = crashes.lossCount(fingerprint) == 0
-        crashes.recordLoss(fingerprint, loss, now)
-        // Most connections break for other reasons, so a first loss is announced only once it is confirmed.
-        if (!firstLoss) announce(fingerprint, loss)
-        scope.launch { verifyLoss(row, fingerprint, loss) }
+        crashes.recordLoss(fingerprint, lost, now)
+        // Most connections break for other reasons, so a first loss is announced only if its upstream is not running.
+        if (!firstLoss) announce(fingerprint, lost)
+        scope.launch {
+            when (livenessCheck.check(row)) {
+                Liveness.ACCEPTING -> crashes.presumeRunning(fingerprint, lost.id)
+                Liveness.ENDED -> upstreamEnded(row)
+                Liveness.SILENT -> if (firstLoss) announce(fingerprint, lost)
+            }
+        }
+    }
+
+    /** Records that the bytes from the upstream of [attempt] were no answer; it may have ended while it sent them. */
+    fun replyGarbled(attempt: Attempt, fingerprint: Long, now: Duration) {
+        val loss = running.remove(attempt.lossId)?.loss ?: return
+        val lost = loss.copy(lostAt = now, fate = UpstreamFate.PRESUMED_RUNNING, runsUntil = now)
+        crashes.recordLoss(fingerprint, lost, now)
     }
 
-    /** Records that a request with [fingerprint] ended while [row] was still running it. */
-    fun requestAbandoned(row: UpstreamRow, fingerprint: Long, since: Duration, now: Duration) {
-        val run = AbandonedAttempt(fingerprint, row.id, since, now)
-        val abandonedBefore = abandonedRuns.add(run)
-        val losses = crashes.lossCount(fingerprint)
-        if (!abandonedBefore && losses == 0) return
-        log.log(GatewayEvent.CRASH_EXPOSED, hex(fingerprint), row.id, "abandoned", losses)
-        watch(row, run)
+    /**
+     * Records that a request with [fingerprint] ended at [now] while the upstream of [attempt] was still running it.
+     */
+    fun requestAbandoned(attempt: Attempt, fingerprint: Long, now: Duration) {
+        val silent = running.remove(attempt.lossId) ?: return
+        val row = attempt.row
+        val lossesBefore = crashes.lossCount(fingerprint)
+        val loss = silent.loss.copy(lostAt = now, runsUntil = maxOf(silent.loss.runsUntil, now + ABANDONED_RUN_TIME))
+        if (!silent.exposed && crashes.recordLoss(fingerprint, loss, now)) unannounced += fingerprint to loss
+        if (lossesBefore == 0) return
+        log.log(GatewayEvent.CRASH_EXPOSED, hex(fingerprint), row.id, "abandoned", lossesBefore)
+        announceDue { it.first == fingerprint }
+        watch(row, fingerprint, loss)
     }
 
-    /** Checks [row] repeatedly, since it may crash some time after [run] was abandoned. */
-    private fun watch(row: UpstreamRow, run: AbandonedAttempt) {
-        checkAbandonedRuns(row, run.abandonedAt)
+    /** Checks [row] repeatedly, since it may crash some time after its request was abandoned. */
+    private fun watch(row: UpstreamRow, fingerprint: Long, loss: CrashLoss) {
         if (watchedCount >= MAX_WATCHED) return
         watchedCount++
         scope.launch {
             try {
-                repeat(RECHECKS) {
+                repeat(CHECKS) {
+                    if (crashes.loss(fingerprint, loss.id)?.ended != false) return@launch
+                    if (!livenessCheck.isKnownRunning(row)) endIfRefusing(row)
                     delay(RECHECK_INTERVAL)
-                    if (!abandonedRuns.contains(run)) return@launch
-                    if (!livenessCheck.isKnownRunning(row) && livenessCheck.hasEnded(row)) {
-                        recordAbandonedLosses(row, ticker.now())
-                    }
                 }
-                if (abandonedRuns.contains(run)) logDismissed(run.fingerprint, row, "accepts connections until now")
             } finally {
                 watchedCount--
             }
@@ -77,48 +149,58 @@
     }
 
     /** Records that a request with [fingerprint] was answered at [now]; returns the number of losses cleared. */
-    fun requestAnswered(fingerprint: Long, now: Duration): Int {
-        abandonedRuns.removeByFingerprint(fingerprint)
-        return crashes.recordAnswer(fingerprint, now)
-    }
+    fun requestAnswered(fingerprint: Long, now: Duration): Int = crashes.recordAnswer(fingerprint, now)
 
     /** Records that [row] accepted no connection. */
-    fun connectFailed(row: UpstreamRow, now: Duration) {
-        if (abandonedRuns.contains(row.id)) checkAbandonedRuns(row, now)
+    fun connectFailed(row: UpstreamRow) {
+        if (crashes.hasOpenLosses(row.incarnation)) scope.launch { endIfRefusing(row) }
     }
 
-    private fun checkAbandonedRuns(row: UpstreamRow, now: Duration) {
-        scope.launch { if (livenessCheck.hasEnded(row)) recordAbandonedLosses(row, now) }
+    private suspend fun endIfRefusing(row: UpstreamRow) {
+        if (livenessCheck.check(row) == Liveness.ENDED) upstreamEnded(row)
     }
 
-    private suspend fun verifyLoss(row: UpstreamRow, fingerprint: Long, loss: CrashLoss) {
-        if (!livenessCheck.hasEnded(row)) {
-            logDismissed(fingerprint, row, "accepts connections")
-            return crashes.removeLoss(fingerprint, loss.id)
-        }
-        if (crashes.confirm(fingerprint, loss.id, ticker.now())) announce(fingerprint, loss.copy(confirmed = true))
-        recordAbandonedLosses(row, loss.lostAt)
+    /** Records that the incarnation in [row] has ended, unless it announced this. */
+    fun upstreamEnded(row: UpstreamRow) {
+        val now = ticker.now()
+        if (row.availability.state(now) == AvailabilityState.LEAVING) return
+        for ((fingerprint, loss) in crashes.upstreamEnded(row.incarnation, now)) announce(fingerprint, loss)
     }
 
-    private fun recordAbandonedLosses(row: UpstreamRow, at: Duration) {
-        for (run in abandonedRuns.removeFor(row.id, at - ABANDONED_LOSS_WINDOW)) {
-            val loss = CrashLoss(random.nextLong(), row.id, run.sentAt, run.abandonedAt, confirmed = true)
-            if (crashes.recordLoss(run.fingerprint, loss, ticker.now())) announce(run.fingerprint, loss)
+    /**
+     * Records attempts that have become silent, and dismisses losses of upstreams that are still registered.
+     *
+     * @param registrationsConfirmedAt when the registrations were last known to be the newest
+     */
+    fun tick(registrationsConfirmedAt: Duration) {
+        val now = ticker.now()
+        for (silent in running.newlySilent(now)) {
+            val isNew = crashes.recordLoss(silent.fingerprint, silent.loss, now)
+            if (isNew) announce(silent.fingerprint, silent.loss)
         }
+        announceDue { now - it.second.sentAt > RunningAttempts.MAX_SILENCE }
+        crashes.dismissRegistered(registrationsConfirmedAt, registrationExpiry)
+    }
+
+    /** Announces the losses that are [due] and still count. */
+    private fun announceDue(due: (Pair<Long, CrashLoss>) -> Boolean) {
+        if (unannounced.isEmpty()) return
+        val announced = unannounced.filter(due)
+        unannounced.removeAll(announced)
+        for ((fingerprint, loss) in announced) crashes.loss(fingerprint, loss.id)?.let { announce(fingerprint, it) }
     }
 
-    private fun logDismissed(fingerprint: Long, row: UpstreamRow, reason: String) =
-        log.log(GatewayEvent.CRASH_DISMISSED, hex(fingerprint), row.id, reason)
+    private fun announce(fingerprint: Long, loss: CrashLoss) = gossip.announceLoss(fingerprint, loss)
 
     private fun hex(fingerprint: Long) = java.lang.Long.toHexString(fingerprint)
 
     private companion object {
-        /** An upstream that ends later than this after a request was abandoned is not a loss under that request. */
-        val ABANDONED_LOSS_WINDOW = 2.seconds
+        /** An upstream may run a request for this long after its caller has left or its time is over. */
+        val ABANDONED_RUN_TIME = 2.seconds
 
-        /** Checks within [ABANDONED_LOSS_WINDOW]; each of them takes about 100 ms itself. */
+        /** Checks within [ABANDONED_RUN_TIME]; each of them takes about 100 ms itself. */
         val RECHECK_INTERVAL = 500.milliseconds
-        const val RECHECKS = 3
+        const val CHECKS = 4
 
         /** Limits the connections that checks open while many callers disconnect. */
         const val MAX_WATCHED = 32
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/EntryState.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/EntryState.kt
@@ -17,6 +17,7 @@
  * @param ownEntry describes this entry
  * @param onStateChanged called after each change of the configuration or the registrations
  * @param onLoadChanged called with an upstream whose load other entries have to learn
+ * @param onUpstreamEnded called with an upstream that ended without a notice
  * @param closeIdle closes the idle connections to an upstream
  */
 internal class EntryState(
@@ -26,13 +27,22 @@
     ownEntry: () -> OwnEntry,
     onStateChanged: () -> Unit,
     onLoadChanged: (UpstreamRow) -> Unit,
+    onUpstreamEnded: (UpstreamRow) -> Unit,
     closeIdle: (UpstreamRow) -> Unit,
 ) {
     val upstreams = UpstreamTable()
     val availability = AvailabilityTracker(upstreams, runtime.random, runtime.log, onLoadChanged, closeIdle)
     val crashSuspects = CrashSuspects()
-    val replica =
-        StateReplica(codec, upstreams, runtime.background, runtime.ticker, runtime.log, onStateChanged, closeIdle)
+    val replica = StateReplica(
+        codec,
+        upstreams,
+        runtime.background,
+        runtime.ticker,
+        runtime.log,
+        onStateChanged,
+        closeIdle,
+        onUpstreamEnded,
+    )
     val peers = PeerTable(settings.entry)
 
     /** How other entries reach this one. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -45,6 +45,7 @@
         ::ownEntry,
         ::onStateChanged,
         onLoadChanged = { peers.loadGossip.scheduleUpdate(it) },
+        onUpstreamEnded = { requests.crashDetector.upstreamEnded(it) },
         closeIdle = { requests.upstreamConnections.closeIdle(it.record.address) },
     )
     private val peers: PeerServices =
@@ -155,6 +156,7 @@
             peers.stateExchange.logReplies()
             configurationLagLog.check()
             state.replica.removeExpired()
+            requests.crashDetector.tick(state.replica.confirmedAt)
             requests.upstreamConnections.closeExpired()
             delay(if (state.activeEntries.active || !serving) ACTIVE_TASK_INTERVAL else STANDBY_TASK_INTERVAL)
         }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/LivenessCheck.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/LivenessCheck.kt
@@ -12,8 +12,8 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Distinguishes an upstream that has ended from one that only lost a connection: a running upstream accepts new
- * connections.
+ * Checks whether an upstream that lost a connection has ended. One that accepts a new connection may have started again
+ * meanwhile, so this is a presumption only.
  *
  * @param tryConnect tries to open a connection to an `ip:port`
  */
@@ -23,21 +23,23 @@
     private val ticker: Ticker,
     private val scope: CoroutineScope,
 ) {
-    private val pendingChecks = HashMap<UpstreamRow, Deferred<Boolean>>()
+    private val pendingChecks = HashMap<UpstreamRow, Deferred<Liveness>>()
 
-    /** Whether [row] has ended. Concurrent calls for the same upstream share one check. */
-    suspend fun hasEnded(row: UpstreamRow): Boolean =
-        pendingChecks.getOrPut(row) { scope.async { check(row).also { pendingChecks.remove(row) } } }.await()
+    /** Checks [row]. Concurrent calls for the same upstream share one check. */
+    suspend fun check(row: UpstreamRow): Liveness =
+        pendingChecks.getOrPut(row) { scope.async { checkNow(row).also { pendingChecks.remove(row) } } }.await()
 
-    private suspend fun check(row: UpstreamRow): Boolean {
+    private suspend fun checkNow(row: UpstreamRow): Liveness {
         val startedAt = ticker.now()
         delay(SETTLE_TIME)
         val registered = upstreams[row.id]
-        if (registered != null && registered !== row) return true
+        if (registered != null && registered !== row) return Liveness.ENDED
         val result = tryConnect(row.record.address)
-        if (result == ConnectResult.ACCEPTED || reportedSince(row, startedAt + MAX_UPDATE_DELAY)) return false
-        // A refusal comes from the VM of the upstream, so this entry is not cut off from it.
-        return result == ConnectResult.REFUSED || reachesOtherUpstream(row)
+        return when {
+            result == ConnectResult.ACCEPTED || reportedSince(row, startedAt + MAX_UPDATE_DELAY) -> Liveness.ACCEPTING
+            result == ConnectResult.REFUSED -> Liveness.ENDED
+            else -> Liveness.SILENT
+        }
     }
 
     /** Whether [row] answered or reported its load so lately that a check is needless. */
@@ -46,19 +48,11 @@
     /** Whether [row] answered this entry, or reported its load to any entry, later than [after]. */
     private fun reportedSince(row: UpstreamRow, after: Duration) = maxOf(row.slownessAt, row.lastAnswerAt) > after
 
-    /** Whether any other upstream accepts a connection; if none does, this entry itself is cut off. */
-    private suspend fun reachesOtherUpstream(row: UpstreamRow): Boolean =
-        upstreams.all.filter { it !== row && it.availability.failures == 0 }.sortedByDescending { it.lastAnswerAt }
-            .take(MAX_OTHERS_TRIED).any { tryConnect(it.record.address) == ConnectResult.ACCEPTED }
-
     private companion object {
         /** An upstream that ends closes its other connections and its listening port within this time of the first. */
         val SETTLE_TIME = 100.milliseconds
 
         /** Load updates arrive within this time, so one that arrives later was reported after the check began. */
         val MAX_UPDATE_DELAY = 60.milliseconds
-
-        /** Number of other upstreams that are tried before this entry counts as cut off. */
-        const val MAX_OTHERS_TRIED = 2
     }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/PeerServices.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/PeerServices.kt
@@ -86,8 +86,8 @@
         gossip.loadGossip = loadGossip
         gossip.onPermitMessage = rateLimiting.exchange::receive
         gossip.requestSync = stateExchange::scheduleSync
-        gossip.crashGossip.onRefused = crashRecords::save
-        state.crashSuspects.onReadmitted = { fingerprint ->
+        gossip.crashGossip.onRecorded = crashRecords::save
+        state.crashSuspects.onCleared = { fingerprint ->
             if (state.activeEntries.isLeader) crashRecords.delete(fingerprint)
         }
     }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestHandler.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestHandler.kt
@@ -93,7 +93,7 @@
         report.fingerprint = request.fingerprint
         val now = ticker.now()
         decisions.retryBudget.recordRequest(service, now)
-        val verdict = decisions.crashSuspects.verdict(request.fingerprint, now)
+        val verdict = attemptFeedback.crashVerdict(request.fingerprint, now)
         if (verdict != CrashVerdict.ADMITTED) return refuse(report, Outcome.CRASHES, retryAfterOf(verdict))
         val run = RequestRun(this, request, route, service, report)
         activeRuns += run
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestPath.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestPath.kt
@@ -70,14 +70,15 @@
     )
     private val livenessCheck =
         LivenessCheck(upstreamConnections::tryConnect, state.upstreams, ticker, runtime.scope)
-    private val crashDetector = CrashDetector(
+    val crashDetector = CrashDetector(
         state.crashSuspects,
+        peers.gossip.crashGossip,
         livenessCheck,
         runtime.random,
         ticker,
         runtime.scope,
         runtime.log,
-        peers.gossip.crashGossip::announceLoss,
+        settings.store.registrationExpiry,
     )
     val requestHandler = RequestHandler(
         state.replica,
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
@@ -51,9 +51,6 @@
     private var connectFailures = 0
     private var finishRequested = false
     private var answered = false
-
-    /** When an attempt of this request was last lost. */
-    private var lastLostAt = -Duration.INFINITE
     private val evidence = ExecutionEvidence()
 
     /** Ends the request at once with the best answer known so far. */
@@ -65,21 +62,18 @@
     /** Runs the request until it has a final answer. */
     suspend fun run(): RequestResult = coroutineScope {
         try {
-            (startFirstAttempt() ?: awaitAttempts()).also { answered = it.outcome == Outcome.ANSWERED }
+            (startFirstAttempt() ?: awaitAttempts()).also {
+                answered = it.outcome == Outcome.ANSWERED && it.answer.status < FIRST_SERVER_ERROR
+            }
         } finally {
             coroutineContext.cancelChildren()
         }
     }
 
-    private fun recordAbandoned(attempt: Attempt) {
-        val now = ticker.now()
-        updateLossWindow(attempt, now)
-        handler.attemptFeedback.attemptAbandoned(attempt, request.fingerprint, now)
-    }
-
-    private fun updateLossWindow(attempt: Attempt, now: Duration) {
-        attempt.lossWindowStart = maxOf(attempt.sentAt, lastLostAt)
-        lastLostAt = now
+    private fun recordUnanswered(attempt: Attempt) {
+        val feedback = handler.attemptFeedback
+        if (answered) return feedback.attemptNotNeeded(attempt)
+        feedback.attemptAbandoned(attempt, request.fingerprint, ticker.now())
     }
 
     /** Starts the first attempt; returns the final result if no attempt can be made, else null. */
@@ -114,7 +108,7 @@
         return null
     }
 
-    private fun crashVerdict() = decisions.crashSuspects.verdict(request.fingerprint, ticker.now())
+    private fun crashVerdict() = handler.attemptFeedback.crashVerdict(request.fingerprint, ticker.now())
 
     private suspend fun CoroutineScope.awaitAttempts(): RequestResult {
         while (true) {
@@ -231,19 +225,21 @@
         triedUpstreams += row.id
         sentCount++
         handler.loadBoard.scheduleUpdate(row)
+        handler.attemptFeedback.attemptStarted(attempt, request.fingerprint, deadline)
         launch {
             try {
                 val outbound = UpstreamRequest(request, deadline - now, row.id)
                 val maxIdle = if (route.kind.retryable) MAX_LINK_IDLE_IDEMPOTENT else MAX_LINK_IDLE
-                attempt.result = handler.upstreamLinks.exchange(row.record.address, outbound, maxIdle)
+                attempt.result = handler.upstreamLinks.exchange(row.record.address, outbound, maxIdle) {
+                    attempt.connectedAt = it
+                }
                 attempt.endedAt = ticker.now()
-                if (attempt.mayHaveLostUpstream) updateLossWindow(attempt, ticker.now())
                 // Before the slot is granted to a queued request: the upstream may have become unusable.
                 handler.attemptFeedback.record(attempt, route, request.fingerprint)
             } finally {
                 runningAttempts -= attempt
                 releaseSlot(row)
-                if (attempt.result == null && !answered) recordAbandoned(attempt)
+                if (attempt.result == null) recordUnanswered(attempt)
             }
             finishedAttempts.addLast(attempt)
             wakeUp.trySend(Unit)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/settings/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/settings/GatewaySettings.kt
@@ -1,6 +1,8 @@
 package io.poplarwood.gateway.settings
 
 import kotlinx.serialization.Serializable
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Settings of one gateway process.
@@ -45,6 +47,8 @@
  * @property readsPerSecond read calls per second that all entries together may make
  * @property writesPerSecond write calls per second that all entries together may make
  * @property rowBytes maximum size of a row's value, in bytes
+ * @property heartbeatS interval at which upstreams renew their registrations, in seconds; one that has been silent for
+ * three of them is no longer registered
  */
 @Serializable
 data class StoreSettings(
@@ -52,7 +56,17 @@
     val readsPerSecond: Double,
     val writesPerSecond: Double,
     val rowBytes: Int,
-)
+    val heartbeatS: Double = DEFAULT_HEARTBEAT_S,
+) {
+    /** Time after which the registration of an upstream that has ended is gone, at every entry. */
+    val registrationExpiry: Duration get() = (heartbeatS * HEARTBEATS_TO_EXPIRY).seconds + EXPIRY_MARGIN
+
+    private companion object {
+        const val DEFAULT_HEARTBEAT_S = 1.5
+        const val HEARTBEATS_TO_EXPIRY = 3
+        val EXPIRY_MARGIN = 1.seconds
+    }
+}
 
 /**
  * @property memoryMb memory of the VM, in megabytes; a process that exceeds it is killed
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateReplica.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateReplica.kt
@@ -25,6 +25,7 @@
  * @param background where desired states are decoded, which takes long when there are many routes
  * @param onChanged called after each change
  * @param onUnavailable called with each upstream that receives no more requests
+ * @param onEnded called with each upstream whose incarnation has ended, whether it announced this or not
  */
 internal class StateReplica(
     private val codec: StateCodec,
@@ -34,6 +35,7 @@
     private val log: EventLog,
     private val onChanged: () -> Unit,
     private val onUnavailable: (UpstreamRow) -> Unit,
+    private val onEnded: (UpstreamRow) -> Unit = {},
 ) {
     private val upstreamRows = TreeMap<String, StoredRow>()
     private val pendingRemoval = HashMap<String, Duration>()
@@ -209,7 +211,11 @@
             return
         }
         val before = upstreams[row.key]?.record
-        upstreams.put(record, ticker.now())?.let(onUnavailable)
+        if (before == null && logged) upstreams.withAddress(record.address).forEach(onEnded)
+        upstreams.put(record, ticker.now())?.let {
+            onUnavailable(it)
+            onEnded(it)
+        }
         val changed = before?.draining != record.draining || before.address != record.address
         if (changed && (logged || record.draining)) {
             log.log(
@@ -241,6 +247,7 @@
         val row = upstreams.remove(key) ?: return
         log.log(GatewayEvent.UPSTREAM_GONE, key, row.record.service, reason, version)
         onUnavailable(row)
+        onEnded(row)
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/UpstreamTable.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/UpstreamTable.kt
@@ -15,6 +15,9 @@
     /** Rows of [service], including those of draining upstreams. */
     fun of(service: ServiceName): List<UpstreamRow> = services[service].orEmpty()
 
+    /** Rows of the upstreams registered at [address]; several only until those that ended have expired. */
+    fun withAddress(address: String): List<UpstreamRow> = rows.values.filter { it.record.address == address }
+
     /** Row of the upstream registered as [id]. */
     operator fun get(id: String): UpstreamRow? = rows[id]
 
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/CrashUpdatesSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/CrashUpdatesSpec.kt
@@ -3,7 +3,9 @@
 import io.poplarwood.api.time.Ticker
 import io.poplarwood.gateway.decision.crash.CrashLoss
 import io.poplarwood.gateway.decision.crash.CrashVerdict
+import io.poplarwood.gateway.decision.crash.UpstreamFate
 import io.poplarwood.gateway.store.Topic
+import io.poplarwood.gateway.upstream.IncarnationId
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.TestScope
@@ -34,7 +36,13 @@
     /** Lets three upstreams end under [request] at [entry], one after the other. */
     private suspend fun TestScope.loseUpstreams(entry: SimulatedCluster.Entry, request: Long = REQUEST) = repeat(3) {
         delay(10.milliseconds)
-        val loss = CrashLoss(request * 10 + it, "u$it", now() - 1.milliseconds, now(), confirmed = true)
+        val loss = CrashLoss(
+            request * 10 + it,
+            IncarnationId("u$it", 0),
+            now() - 1.milliseconds,
+            now(),
+            UpstreamFate.ENDED,
+        )
         entry.crashes.recordLoss(request, loss, now())
         entry.peers.crashGossip.announceLoss(request, loss)
     }
