--- a/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
@@ -116,6 +116,14 @@
         "count",
         "routes",
     ),
+    STORE_READ_AGAIN(
+        6111,
+        Level.WARN,
+        "the store did not have the version asked for; everything was read",
+        "topic",
+        "knownVersion",
+        "readVersion",
+    ),
     UPSTREAM_KNOWN(
         6301,
         Level.INFO,
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateWatcher.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateWatcher.kt
@@ -60,7 +60,9 @@
             val startedAt = ticker.now()
             val result = observeArrival { store.changes(topic, version, wait, wait + responseMargin, it) }
             if (result.getError() == StoreError.HistoryGone) {
+                val asked = version
                 readSnapshot()
+                log.log(GatewayEvent.STORE_READ_AGAIN, topic, asked, version)
                 continue
             }
             val rows = handleResult(result)
