--- a/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
@@ -117,7 +117,7 @@
         "routes",
     ),
     STORE_READ_AGAIN(
-        6111,
+        6119,
         Level.WARN,
         "the store did not have the version asked for; everything was read",
         "topic",
