--- a/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/ChangePieces.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/ChangePieces.kt
@@ -18,7 +18,7 @@
 
     /** The pieces of [change], at least one. */
     fun split(change: ConfigurationChange): List<ByteArray> {
-        val header = ChangeHeader(change.version, LimitsRow.of(change.limits))
+        val header = ChangeHeader(LimitsRow.of(change.limits))
         val removedServices = change.removedServices.chunked(ROUTES_PER_PIECE) { names -> names.map { it.value } }
         val addedServices = change.addedServices.chunked(ROUTES_PER_PIECE) { it.map(ServiceRow::of) }
         val removed = change.removed.chunked(ROUTES_PER_PIECE) { keys -> keys.map { KeyRow(it.host, it.prefix) } }
@@ -38,13 +38,17 @@
     }
 
     /** The change whose pieces are [pieces], in order; null when a piece cannot be decoded. */
-    fun join(pieces: List<ByteArray>, from: Long, to: Long, digest: Long): ConfigurationChange? {
+    fun join(
+        pieces: List<ByteArray>,
+        from: ConfigurationVersion?,
+        to: ConfigurationVersion,
+        digest: Long,
+    ): ConfigurationChange? {
         val contents = pieces.map { unpack(it) ?: return null }
         val header = contents.firstOrNull()?.header ?: return null
         return ConfigurationChange(
             from = from,
             to = to,
-            version = header.version,
             limits = header.limits.toLimits(),
             removedServices = contents.flatMap { content -> content.removedServices.map(::ServiceName) },
             addedServices = contents.flatMap { content -> content.addedServices.map { it.toSpec() } },
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/ConfigurationChange.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/ConfigurationChange.kt
@@ -10,11 +10,10 @@
 import io.poplarwood.gateway.route.ServiceSpec
 
 /**
- * What turns one desired state into another. A change from store version 0 holds a whole desired state.
+ * What turns one desired state into another. A change from no version holds a whole desired state.
  *
- * @property from store version of the earlier desired state; 0 when the change needs none
- * @property to store version of the later desired state
- * @property version version of the later desired state
+ * @property from version of the earlier desired state; null when the change needs none
+ * @property to version of the later desired state
  * @property limits limits of the later desired state
  * @property removedServices services that the later desired state lacks
  * @property addedServices services that are new or different in the later desired state
@@ -23,9 +22,8 @@
  * @property digest digest of the later desired state
  */
 internal class ConfigurationChange(
-    val from: Long,
-    val to: Long,
-    val version: Long,
+    val from: ConfigurationVersion?,
+    val to: ConfigurationVersion,
     val limits: CallerLimits,
     val removedServices: List<ServiceName>,
     val addedServices: List<ServiceSpec>,
@@ -35,12 +33,12 @@
 ) {
     /** The later desired state, made from the [earlier] one; null when the result does not have the expected digest. */
     fun applyTo(earlier: DesiredState?): Configuration? {
-        if (from != 0L && earlier == null) return null
-        val base = earlier.takeIf { from != 0L }
+        if (from != null && earlier == null) return null
+        val base = earlier.takeIf { from != null }
         val routes = (base?.routes ?: RouteTable.EMPTY).change(removed, added)
-        val state =
-            DesiredState(version, base?.services.orEmpty().change(removedServices, addedServices), routes, limits)
-        return if (RouteDigest.of(state) == digest) Configuration(state, to) else null
+        val services = base?.services.orEmpty().change(removedServices, addedServices)
+        val state = DesiredState(to.operatorVersion, services, routes, limits)
+        return if (RouteDigest.of(state) == digest) Configuration(state, to.row) else null
     }
 
     companion object {
@@ -50,9 +48,8 @@
             val baseServices = earlier?.state?.services.orEmpty()
             val state = later.state
             return ConfigurationChange(
-                from = earlier?.storeVersion ?: 0,
-                to = later.storeVersion,
-                version = state.version,
+                from = earlier?.version,
+                to = later.version,
                 limits = state.limits,
                 removedServices = (baseServices.keys - state.services.keys).sortedBy { it.value },
                 addedServices = state.services.values.filter { it != baseServices[it.name] }.sortedBy { it.name.value },
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/ConfigurationFetcher.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/ConfigurationFetcher.kt
@@ -17,7 +17,7 @@
 internal class ConfigurationFetcher(
     private val self: String,
     private val ask: suspend (address: String, query: TransferQuery) -> TransferReply?,
-    private val sources: TransferSources,
+    private val sources: TransferSources<ConfigurationVersion>,
     private val history: ConfigurationHistory,
     private val background: BackgroundWork,
     private val random: RandomSource,
@@ -25,7 +25,7 @@
     private val log: TransferLog,
 ) {
     /** Version whose whole could not be used, and how many times that was so. */
-    private var unusable = 0L
+    private var unusable = ConfigurationVersion.NONE
     private var unusableWholes = 0
     private var unusableUntil = -Duration.INFINITE
 
@@ -36,11 +36,12 @@
     suspend fun fetch(): Fetched? {
         val knownVersion = newestVersion()
         // All of them, since a peer may have skipped the newest one.
-        var bases = history.storeVersions
+        var bases = history.versions
         sources.clearReferrals()
         while (newestVersion() == knownVersion) {
-            val peer = sources.next(maxOf(knownVersion, unusableVersion())) ?: return null
-            when (val reply = query(peer, TransferQuery(self, bases, 0, 0))) {
+            val useless = maxOf(knownVersion, unusableVersion())
+            val peer = sources.next { it > useless } ?: return null
+            when (val reply = query(peer, TransferQuery(self, bases, null, 0))) {
                 is TransferReply.Piece -> {
                     val received = collect(peer, reply)
                     received?.let { decode(reply, it) }?.let { return it }
@@ -61,13 +62,13 @@
     /** Fetches the pieces after the [first] one, which [peer] has sent; null when no peer can send the others. */
     private suspend fun collect(peer: String, first: TransferReply.Piece): Received? {
         val startedAt = ticker.now()
-        val base = if (first.from == 0L) null else history[first.from] ?: return null
+        val base = if (first.from == null) null else history[first.from] ?: return null
         val pieces = ArrayList<ByteArray>(first.count)
         pieces += first.bytes
         var source = peer
         var arrivedAt = startedAt
         while (pieces.size < first.count) {
-            val query = TransferQuery(self, listOfNotNull(base?.storeVersion), first.to, pieces.size)
+            val query = TransferQuery(self, listOfNotNull(base?.version), first.to, pieces.size)
             val reply = query(source, query)
             if (reply is TransferReply.Piece && reply.continues(first)) {
                 pieces += reply.bytes
@@ -87,9 +88,9 @@
      * [arrivedAt], and when the version has arrived on another way. Where the last peer has [skipped] it, null is
      * returned at once, since a newer version arrives sooner.
      */
-    private suspend fun awaitSource(to: Long, arrivedAt: Duration, skipped: Boolean): String? {
+    private suspend fun awaitSource(to: ConfigurationVersion, arrivedAt: Duration, skipped: Boolean): String? {
         while (newestVersion() < to) {
-            sources.next(to - 1)?.let { return it }
+            sources.next { it >= to }?.let { return it }
             if (skipped || ticker.now() - arrivedAt > RESUME_TIMEOUT) return null
             delay(BUSY_PAUSE)
         }
@@ -100,17 +101,17 @@
      * Records that the whole of [version] cannot be used. Other peers send the same, unless their code is another, so
      * this entry asks for it only a few times.
      */
-    private fun recordUnusable(version: Long) {
+    private fun recordUnusable(version: ConfigurationVersion) {
         if (version != unusable) unusableWholes = 0
         unusable = version
         unusableWholes++
         if (unusableWholes % MAX_UNUSABLE_WHOLES == 0) unusableUntil = ticker.now() + UNUSABLE_PAUSE
     }
 
-    /** Version up to which this entry requests nothing now; 0 when it may request each. */
-    private fun unusableVersion() = if (ticker.now() < unusableUntil) unusable else 0
+    /** Version up to which this entry requests nothing now, if there is one. */
+    private fun unusableVersion() = if (ticker.now() < unusableUntil) unusable else ConfigurationVersion.NONE
 
-    private fun newestVersion() = history.newest?.storeVersion ?: 0
+    private fun newestVersion() = history.newest?.version ?: ConfigurationVersion.NONE
 
     private suspend fun decode(first: TransferReply.Piece, received: Received): Fetched? {
         val peer = received.peer
@@ -120,7 +121,7 @@
         if (result == null) {
             log.failed(peer, "unreadable", took)
             sources.avoid(peer, FAILURE_PAUSE)
-            if (first.from == 0L) recordUnusable(first.to)
+            if (first.from == null) recordUnusable(first.to)
             return null
         }
         log.received(peer, change, received.pieces.sumOf { it.size }, took)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/ConfigurationHistory.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/ConfigurationHistory.kt
@@ -5,21 +5,22 @@
  * than one.
  */
 internal class ConfigurationHistory {
-    private val versions = ArrayDeque<Configuration>()
+    private val configurations = ArrayDeque<Configuration>()
 
     /** The newest desired state; null until there is one. */
-    val newest: Configuration? get() = versions.lastOrNull()
+    val newest: Configuration? get() = configurations.lastOrNull()
 
-    /** Store versions of the desired states, the newest first. */
-    val storeVersions: List<Long> get() = versions.map { it.storeVersion }.asReversed()
+    /** Versions of the desired states, the newest first. */
+    val versions: List<ConfigurationVersion> get() = configurations.map { it.version }.asReversed()
 
-    /** The desired state with [storeVersion]; null when it is unknown or too old. */
-    operator fun get(storeVersion: Long): Configuration? = versions.lastOrNull { it.storeVersion == storeVersion }
+    /** The desired state with [version]; null when it is unknown or too old. */
+    operator fun get(version: ConfigurationVersion): Configuration? =
+        configurations.lastOrNull { it.version == version }
 
     /** Adds a desired state that is newer than the others. */
     fun add(configuration: Configuration) {
-        versions.addLast(configuration)
-        if (versions.size > MAX_VERSIONS) versions.removeFirst()
+        configurations.addLast(configuration)
+        if (configurations.size > MAX_VERSIONS) configurations.removeFirst()
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/PieceContent.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/PieceContent.kt
@@ -25,7 +25,6 @@
 /** The part of a configuration change that is neither a route nor a service. */
 @Serializable
 internal class ChangeHeader(
-    @SerialName("v") val version: Long,
     @SerialName("l") val limits: LimitsRow,
 )
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/TransferAdmission.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/TransferAdmission.kt
@@ -8,13 +8,13 @@
  *
  * @param takesCallers whether the entry with this address takes callers
  */
-internal class TransferAdmission(
+internal class TransferAdmission<V : Comparable<V>>(
     private val slots: TransferSlots,
     private val takesCallers: (address: String) -> Boolean,
     private val ticker: Ticker,
 ) {
     private val holders = ArrayDeque<String>()
-    private var heldVersion = 0L
+    private var heldVersion: V? = null
 
     /** Whether the peer at the address [receiver] may be served now. */
     fun admit(receiver: String): Boolean = slots.admit(receiver, takesCallers(receiver), ticker.now())
@@ -23,19 +23,20 @@
     fun release(receiver: String) = slots.release(receiver)
 
     /** Ends the transfer to [receiver] with [bytes], after which it has everything up to [version]. */
-    fun finished(receiver: String, version: Long, bytes: Int) {
+    fun finished(receiver: String, version: V, bytes: Int) {
         slots.finished(receiver, bytes, ticker.now())
-        if (version < heldVersion) return
-        if (version > heldVersion) holders.clear()
+        val held = heldVersion
+        if (held != null && version < held) return
+        if (version != held) holders.clear()
         heldVersion = version
         holders.remove(receiver)
         holders.addLast(receiver)
         if (holders.size > MAX_HOLDERS) holders.removeFirst()
     }
 
-    /** Some entries that have received [version] or a newer one, others at each call. */
-    fun referrals(version: Long): List<String> {
-        if (heldVersion < version) return emptyList()
+    /** Some entries that have received a version that [isUseful], others at each call. */
+    fun referrals(isUseful: (V) -> Boolean): List<String> {
+        if (heldVersion?.let(isUseful) != true) return emptyList()
         return List(minOf(MAX_REFERRALS, holders.size)) { holders.removeFirst().also(holders::addLast) }
     }
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/TransferReply.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/TransferReply.kt
@@ -10,16 +10,16 @@
     /**
      * One piece of a configuration change.
      *
-     * @property from store version that the change starts from; 0 when it is a whole desired state
-     * @property to store version that the change leads to
+     * @property from version that the change starts from; null when it is a whole desired state
+     * @property to version that the change leads to
      * @property count number of pieces
      * @property digest digest of the desired state that the change leads to
      */
     @Serializable
     @SerialName("p")
     class Piece(
-        @SerialName("f") val from: Long,
-        @SerialName("t") val to: Long,
+        @SerialName("f") val from: ConfigurationVersion?,
+        @SerialName("t") val to: ConfigurationVersion,
         @SerialName("c") val count: Int,
         @SerialName("d") val digest: Long,
         @SerialName("b") @ByteString val bytes: ByteArray,
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/TransferSources.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/configuration/TransferSources.kt
@@ -7,12 +7,12 @@
  * Selects the peer that is asked next for rows of the store.
  *
  * @param self address of this entry for other entries
- * @param holders addresses of peers that are known to have newer rows than the given store version, those to ask first
- *   at the front
+ * @param holders addresses of peers that are known to have rows of a version that is useful, those to ask first at the
+ *   front
  */
-internal class TransferSources(
+internal class TransferSources<V>(
     private val self: String,
-    private val holders: (storeVersion: Long) -> List<String>,
+    private val holders: (isUseful: (V) -> Boolean) -> List<String>,
     private val ticker: Ticker,
 ) {
     private val avoidUntil = HashMap<String, Duration>()
@@ -34,14 +34,14 @@
         avoidUntil[peer] = ticker.now() + pause
     }
 
-    /** The peer to ask for rows newer than [storeVersion]; null when there is none now. */
-    fun next(storeVersion: Long): String? {
+    /** The peer to ask for rows of a version that [isUseful]; null when there is none now. */
+    fun next(isUseful: (V) -> Boolean): String? {
         val now = ticker.now()
         avoidUntil.values.removeIf { it <= now }
         while (true) {
             val peer = referred.removeFirstOrNull() ?: break
             if (peer !in avoidUntil) return peer
         }
-        return holders(storeVersion).firstOrNull { it !in avoidUntil }
+        return holders(isUseful).firstOrNull { it !in avoidUntil }
     }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
@@ -116,6 +116,7 @@
         "count",
         "routes",
     ),
+    STORE_RESTORED(6120, Level.WARN, "the store came back from an older copy", "knownVersion", "newVersion"),
     STORE_READ_AGAIN(
         6119,
         Level.WARN,
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/ConfigurationMetrics.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/ConfigurationMetrics.kt
@@ -11,7 +11,12 @@
 internal class ConfigurationMetrics(private val registry: PrometheusRegistry, status: () -> ConfigurationStatus) {
     init {
         gauge("version", "Version of the desired state in force.") { status().version.toDouble() }
-        gauge("store_version", "Store version of the desired state in force.") { status().storeVersion.toDouble() }
+        gauge("store_version", "Store version of the desired state in force, within its era.") {
+            status().storeVersion.change.toDouble()
+        }
+        gauge("store_era", "Era of the store version of the desired state in force.") {
+            status().storeVersion.era.toDouble()
+        }
         seconds("staleness", "Time since the newest version was last confirmed.") { status().staleness }
         seconds("behind", "Time since a newer version than the one in force is known.") { status().behindFor }
         CounterWithCallback.builder().name(PREFIX + "unreadable").help("Versions that could not be decoded.")
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/ConfigurationStatus.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/ConfigurationStatus.kt
@@ -1,5 +1,6 @@
 package io.poplarwood.gateway.metrics
 
+import io.poplarwood.gateway.store.StoreVersion
 import kotlin.time.Duration
 
 /**
@@ -13,13 +14,13 @@
  */
 internal data class ConfigurationStatus(
     val version: Long,
-    val storeVersion: Long,
+    val storeVersion: StoreVersion,
     val staleness: Duration,
     val behindFor: Duration,
     val unreadableCount: Long,
 ) {
     companion object {
         /** Status before anything has arrived. */
-        val NONE: ConfigurationStatus = ConfigurationStatus(0, 0, Duration.INFINITE, Duration.ZERO, 0)
+        val NONE: ConfigurationStatus = ConfigurationStatus(0, StoreVersion.NONE, Duration.INFINITE, Duration.ZERO, 0)
     }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/DatagramSize.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/DatagramSize.kt
@@ -9,7 +9,7 @@
     const val MAX_BYTES = 1_200
 
     /** A message without its names, rows and load. */
-    const val MESSAGE_BYTES = 40
+    const val MESSAGE_BYTES = 60
 
     private const val HEARTBEAT_BYTES = 180
     private const val PART_BYTES = 20
@@ -51,12 +51,15 @@
         return LOAD_BYTES + numbers + of(load.upstream) + leaving + if (load.limit != null) LIMIT_BYTES else 0
     }
 
-    fun of(row: ReplicatedRow): Int = ROW_BYTES + ofNumber(row.version) + of(row.key) + (row.value?.size ?: 0)
+    fun of(row: ReplicatedRow): Int = ROW_BYTES + of(row.version.toString()) + of(row.key) + (row.value?.size ?: 0)
 
     /** Size of [hello] without its load. */
     fun of(hello: PeerMessage.Hello): Int {
         val names = of(hello.from) + of(hello.zone) + of(hello.callers) + of(hello.peers)
-        return HEARTBEAT_BYTES + names + hello.zoneActive.sumOf(::of)
+        val versions = of(hello.stateVersion.toString()) +
+            listOf(hello.upstreamVersion, hello.coveredVersion, hello.stateReceived, hello.stateAccepted)
+                .sumOf { of(it.toString()) }
+        return HEARTBEAT_BYTES + names + versions + hello.zoneActive.sumOf(::of)
     }
 
     /** Room for rows or load in a message of [sender]. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/NewerPeers.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/NewerPeers.kt
@@ -3,20 +3,20 @@
 /**
  * Live peers that have newer rows of the store than this entry.
  *
- * @param versionOf store version of the rows that the sender of a heartbeat has
+ * @param versionOf version of the rows that the sender of a heartbeat has
  */
-internal class NewerPeers(
+internal class NewerPeers<V>(
     private val self: String,
     private val zone: String,
     private val peers: PeerTable,
-    private val versionOf: (PeerMessage.Hello) -> Long,
+    private val versionOf: (PeerMessage.Hello) -> V,
 ) {
     /**
-     * Addresses of the peers with rows newer than [storeVersion], those of the own zone first. Each entry
-     * has an order of its own, so that not all ask the same peer.
+     * Addresses of the peers with rows of a version that [isUseful], those of the own zone first. Each entry has an
+     * order of its own, so that not all ask the same peer.
      */
-    fun of(storeVersion: Long): List<String> =
-        peers.live.filter { peer -> (peer.hello?.let(versionOf) ?: 0) > storeVersion }
+    fun of(isUseful: (V) -> Boolean): List<String> =
+        peers.live.filter { peer -> peer.hello?.let { isUseful(versionOf(it)) } ?: false }
             .sortedWith(compareBy({ it.record.zone != zone }, { (self + it.name).hashCode() }))
             .map { it.record.peers }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
@@ -1,6 +1,7 @@
 package io.poplarwood.gateway.peer
 
 import io.poplarwood.api.time.Ticker
+import io.poplarwood.gateway.configuration.ConfigurationVersion
 import io.poplarwood.gateway.decision.crash.CrashSuspects
 import io.poplarwood.gateway.log.EventLog
 import io.poplarwood.gateway.log.GatewayEvent
@@ -9,6 +10,7 @@
 import io.poplarwood.gateway.store.QueryPacing
 import io.poplarwood.gateway.store.RowSnapshot
 import io.poplarwood.gateway.store.StateReplica
+import io.poplarwood.gateway.store.StoreVersion
 import io.poplarwood.gateway.store.Topic
 import kotlinx.coroutines.CompletableDeferred
 import java.util.EnumSet
@@ -70,7 +72,7 @@
 
     /** Called when another entry has newer rows of the store. */
     var requestSync: () -> Unit = {}
-    private var announcedVersions = 0L to 0L
+    private var announcedVersions = ConfigurationVersion.NONE to StoreVersion.NONE
 
     /** When the store last answered any entry, as far as this entry knows. */
     private var storeAnsweredAt = -Duration.INFINITE
@@ -156,7 +158,8 @@
         upstreamVersion = book.upstreamVersion,
         coveredVersion = book.coveredVersion,
         confirmedMs = (now - book.confirmedAt).inWholeMilliseconds,
-        stateReceived = book.freshness.receivedVersion.takeIf { it > book.stateVersion } ?: 0,
+        stateReceived = book.freshness.receivedVersion,
+        stateAccepted = book.freshness.acceptedVersion,
         stateConfirmedMs = (now - book.freshness.confirmedAt).inWholeMilliseconds,
         upMs = (now - startedAt).inWholeMilliseconds,
         requestsPerS = roles.requestsPerS,
@@ -196,9 +199,10 @@
         if (answered) storeAnsweredAt = ticker.now()
     }
 
-    override fun version(topic: Topic): Long = if (topic == Topic.UPSTREAMS) book.coveredVersion else book.stateVersion
+    override fun version(topic: Topic): StoreVersion =
+        if (topic == Topic.UPSTREAMS) book.coveredVersion else book.freshness.acceptedVersion
 
-    override fun rowsChanged(topic: Topic, rows: RowSnapshot, after: Long) {
+    override fun rowsChanged(topic: Topic, rows: RowSnapshot, after: StoreVersion) {
         val parts = if (topic == Topic.UPSTREAMS) updateParts.of(rows, after) else null
         if (parts == null) return sendHeartbeats()
         for (part in parts) send(part, table.live.map { it.record.peers })
@@ -234,15 +238,18 @@
 
     /** Compares the store versions of the sender with the own ones: requests newer rows or confirms the own ones. */
     private fun compareVersions(hello: PeerMessage.Hello) {
+        book.observe(maxOf(hello.upstreamVersion, hello.stateAccepted))
         if (hello.upstreamVersion <= book.coveredVersion) book.advanceCoveredVersion(hello.coveredVersion)
         val answerAge = if (hello.readingMs > 0) 0 else minOf(hello.confirmedMs, hello.stateConfirmedMs)
         storeAnsweredAt = maxOf(storeAnsweredAt, ticker.now() - answerAge.milliseconds)
         val sentAt = ticker.now() - MAX_TRANSIT
         val lacksUpstreams = hello.upstreamVersion > book.upstreamVersion
         if (!lacksUpstreams) book.confirm(sentAt - hello.confirmedMs.milliseconds)
-        val received = maxOf(hello.stateVersion, hello.stateReceived)
         val stateConfirmedAt = sentAt - hello.stateConfirmedMs.milliseconds
-        book.freshness.heard(hello.from, hello.stateVersion, received, stateConfirmedAt, ticker.now())
+        // What the sender knows of the store changes nothing here: this entry has no older desired state than it.
+        if (hello.stateVersion <= book.stateVersion) book.freshness.accept(hello.stateAccepted)
+        val inForce = hello.stateVersion.row
+        book.freshness.heard(hello.from, inForce, hello.stateReceived, stateConfirmedAt, ticker.now())
         if (lacksUpstreams || hello.stateVersion > book.stateVersion) requestSync()
     }
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
@@ -1,6 +1,8 @@
 package io.poplarwood.gateway.peer
 
+import io.poplarwood.gateway.configuration.ConfigurationVersion
 import io.poplarwood.gateway.metrics.DatagramKind
+import io.poplarwood.gateway.store.StoreVersion
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -35,12 +37,13 @@
      * @property serving whether the sender takes requests
      * @property stopping whether the sender has begun a planned stop
      * @property storeAnswers whether the store answered the last calls of the sender
-     * @property stateVersion store version of the desired state that the sender has
+     * @property stateVersion version of the desired state that the sender has
      * @property upstreamVersion store version of the newest change of a registration that the sender has
      * @property coveredVersion store version up to which the sender has every registration
      * @property confirmedMs time since the registrations were confirmed to be the newest, in milliseconds
      * @property stateReceived store version of the newest desired state that the sender has received, which it may be
-     * unable to decode; 0 when it is not above [stateVersion]
+     * unable to decode
+     * @property stateAccepted store version of the newest row that holds [stateVersion] or an older desired state
      * @property stateConfirmedMs time since the store certainly had no desired state beyond the newest one that the
      * sender has received, in milliseconds
      * @property upMs time since the sender started, in milliseconds
@@ -65,11 +68,12 @@
         @SerialName("s") val serving: Boolean,
         @SerialName("e") val stopping: Boolean,
         @SerialName("o") val storeAnswers: Boolean,
-        @SerialName("sv") val stateVersion: Long,
-        @SerialName("uv") val upstreamVersion: Long,
-        @SerialName("cv") val coveredVersion: Long,
+        @SerialName("sv") val stateVersion: ConfigurationVersion,
+        @SerialName("uv") val upstreamVersion: StoreVersion,
+        @SerialName("cv") val coveredVersion: StoreVersion,
         @SerialName("cm") val confirmedMs: Long,
-        @SerialName("sr") val stateReceived: Long = 0,
+        @SerialName("sr") val stateReceived: StoreVersion = StoreVersion.NONE,
+        @SerialName("sa") val stateAccepted: StoreVersion = StoreVersion.NONE,
         @SerialName("cs") val stateConfirmedMs: Long = UNCONFIRMED_MS,
         @SerialName("um") val upMs: Long,
         @SerialName("q") val requestsPerS: Int,
@@ -107,7 +111,7 @@
     @SerialName("u")
     data class UpstreamUpdate(
         @SerialName("f") override val from: String,
-        @SerialName("a") val after: Long,
+        @SerialName("a") val after: StoreVersion,
         @SerialName("r") val rows: List<ReplicatedRow>,
     ) : PeerMessage
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerSync.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerSync.kt
@@ -7,6 +7,7 @@
 import io.poplarwood.gateway.log.GatewayEvent
 import io.poplarwood.gateway.store.RowSnapshot
 import io.poplarwood.gateway.store.StateReplica
+import io.poplarwood.gateway.store.StoreVersion
 import io.poplarwood.gateway.store.StoredRow
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
@@ -28,7 +29,7 @@
 internal class PeerSync(
     private val self: String,
     private val ask: suspend (address: String, query: RegistrationQuery) -> RegistrationReply?,
-    private val holders: NewerPeers,
+    private val holders: NewerPeers<StoreVersion>,
     private val takesCallers: () -> Boolean,
     private val book: StateReplica,
     private val random: RandomSource,
@@ -46,7 +47,7 @@
 
     /** Starts to fetch if a peer has newer registrations, unless this entry fetches already or has to wait. */
     fun syncIfBehind() {
-        if (fetching || mustWait() || holders.of(book.upstreamVersion).isEmpty()) return
+        if (fetching || mustWait() || isUpToDate()) return
         fetching = true
         scope.launch {
             try {
@@ -57,6 +58,8 @@
         }
     }
 
+    private fun isUpToDate() = holders.of { it > book.upstreamVersion }.isEmpty()
+
     private fun mustWait() = ticker.now() - appliedAt < STANDBY_INTERVAL && !takesCallers()
 
     /** Fetches what changed, or all pages when the peer no longer knows what changed since then. */
@@ -66,8 +69,8 @@
         var source: String? = null
         var arrivedAt = ticker.now()
         // Ends as well when the rows have arrived on another way meanwhile.
-        while (holders.of(book.upstreamVersion).isNotEmpty()) {
-            val peer = source ?: sources.next(book.upstreamVersion)
+        while (!isUpToDate()) {
+            val peer = source ?: sources.next { it > book.upstreamVersion }
             if (peer == null) {
                 if (pages.isEmpty() || ticker.now() - arrivedAt > RESUME_TIMEOUT) return
                 delay(BUSY_PAUSE)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/RegistrationQuery.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/RegistrationQuery.kt
@@ -1,5 +1,6 @@
 package io.poplarwood.gateway.peer
 
+import io.poplarwood.gateway.store.StoreVersion
 import java.net.URLDecoder
 import java.net.URLEncoder
 
@@ -14,8 +15,8 @@
  */
 internal data class RegistrationQuery(
     val receiver: String,
-    val newest: Long,
-    val covered: Long,
+    val newest: StoreVersion,
+    val covered: StoreVersion,
     val afterKey: String?,
 ) {
     /** This query as the end of a request target. */
@@ -32,8 +33,8 @@
         fun parse(text: String): RegistrationQuery? {
             val fields = text.split(SEPARATOR)
             if (fields.size !in FIELDS..FIELDS + 1) return null
-            val newest = fields[1].toLongOrNull() ?: return null
-            val covered = fields[2].toLongOrNull() ?: return null
+            val newest = StoreVersion.parse(fields[1]) ?: return null
+            val covered = StoreVersion.parse(fields[2]) ?: return null
             val key = fields.getOrNull(FIELDS)?.let { URLDecoder.decode(it, Charsets.UTF_8) }
             return RegistrationQuery(fields.first(), newest, covered, key)
         }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/RegistrationReply.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/RegistrationReply.kt
@@ -1,5 +1,6 @@
 package io.poplarwood.gateway.peer
 
+import io.poplarwood.gateway.store.StoreVersion
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.ByteString
@@ -19,10 +20,10 @@
     @Serializable
     @SerialName("p")
     class Page(
-        @SerialName("a") val after: Long?,
+        @SerialName("a") val after: StoreVersion?,
         @SerialName("k") val lastKey: String?,
-        @SerialName("uv") val upstreamVersion: Long,
-        @SerialName("cv") val coveredVersion: Long,
+        @SerialName("uv") val upstreamVersion: StoreVersion,
+        @SerialName("cv") val coveredVersion: StoreVersion,
         @SerialName("r") @ByteString val rows: ByteArray,
     ) : RegistrationReply
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/RegistrationSender.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/RegistrationSender.kt
@@ -8,6 +8,7 @@
 import io.poplarwood.gateway.log.EventLog
 import io.poplarwood.gateway.log.GatewayEvent
 import io.poplarwood.gateway.store.StateReplica
+import io.poplarwood.gateway.store.StoreVersion
 import io.poplarwood.gateway.store.StoredRow
 import kotlin.time.Duration
 
@@ -16,13 +17,13 @@
  */
 internal class RegistrationSender(
     private val book: StateReplica,
-    private val admission: TransferAdmission,
+    private val admission: TransferAdmission<StoreVersion>,
     private val background: BackgroundWork,
     private val ticker: Ticker,
     private val log: EventLog,
 ) {
     /** By the keys and versions of the rows. */
-    private val encoded = EncodedOnce<List<Pair<String, Long>>, ByteArray>(MAX_ENCODED)
+    private val encoded = EncodedOnce<List<Pair<String, StoreVersion>>, ByteArray>(MAX_ENCODED)
     private var replies = 0
     private var replyBytes = 0L
     private var encodeTime = Duration.ZERO
@@ -34,7 +35,7 @@
         if (upstreamVersion <= query.newest) return RegistrationReply.Nothing
         if (!admission.admit(query.receiver)) {
             busyReplies++
-            return RegistrationReply.Busy(admission.referrals(query.newest + 1))
+            return RegistrationReply.Busy(admission.referrals { it > query.newest })
         }
         val coveredVersion = book.coveredVersion
         val changes =
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/ReplicatedRow.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/ReplicatedRow.kt
@@ -1,5 +1,6 @@
 package io.poplarwood.gateway.peer
 
+import io.poplarwood.gateway.store.StoreVersion
 import io.poplarwood.gateway.store.StoredRow
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -10,7 +11,7 @@
 internal class ReplicatedRow(
     @SerialName("k") val key: String,
     @SerialName("v") @ByteString val value: ByteArray?,
-    @SerialName("n") val version: Long,
+    @SerialName("n") val version: StoreVersion,
 ) {
     fun toStored() = StoredRow(key, value, version)
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/UpstreamUpdateParts.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/UpstreamUpdateParts.kt
@@ -1,6 +1,7 @@
 package io.poplarwood.gateway.peer
 
 import io.poplarwood.gateway.store.RowSnapshot
+import io.poplarwood.gateway.store.StoreVersion
 
 /**
  * Divides changed registrations into updates of bounded size. Each begins after the version at which the one before
@@ -13,7 +14,7 @@
      * The updates for [rows], the first ones that changed after version [after]; null when they are better requested
      * by each receiver.
      */
-    fun of(rows: RowSnapshot, after: Long): List<PeerMessage.UpstreamUpdate>? {
+    fun of(rows: RowSnapshot, after: StoreVersion): List<PeerMessage.UpstreamUpdate>? {
         val changed = rows.rows.map(ReplicatedRow::of).sortedBy { it.version }
         if (changed.sumOf { it.value?.size ?: 0 } > MAX_VALUE_BYTES) return null
         val room = DatagramSize.roomIn(self)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/ConfigurationLagLog.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/ConfigurationLagLog.kt
@@ -37,7 +37,7 @@
 
     private fun write(event: GatewayEvent, lag: Lag) {
         val forMs = (ticker.now() - lag.since).inWholeMilliseconds
-        log(event, arrayOf<Any?>(forMs, book.stateVersion, book.freshness.newestKnown, lag.source, lag.reason))
+        log(event, arrayOf<Any?>(forMs, book.stateVersion.row, book.freshness.newestKnown, lag.source, lag.reason))
     }
 
     private class Lag(val since: Duration, val source: String, val reason: String)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/ConfigurationStatusSource.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/ConfigurationStatusSource.kt
@@ -11,7 +11,7 @@
         val now = ticker.now()
         return ConfigurationStatus(
             version = book.state?.version ?: 0,
-            storeVersion = book.stateVersion,
+            storeVersion = book.stateVersion.row,
             staleness = now - book.freshness.confirmedAt,
             behindFor = book.freshness.behind?.let { now - it.at } ?: Duration.ZERO,
             unreadableCount = book.freshness.unreadableCount,
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/EntryState.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/EntryState.kt
@@ -41,6 +41,7 @@
         runtime.log,
         onStateChanged,
         closeIdle,
+        settings.store.registrationExpiry,
         onUpstreamEnded,
     )
     val peers = PeerTable(settings.entry)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -155,7 +155,7 @@
             peers.stateExchange.syncIfBehind()
             peers.stateExchange.logReplies()
             configurationLagLog.check()
-            state.replica.removeExpired()
+            state.replica.checkExpiry()
             requests.crashDetector.tick(state.replica.confirmedAt)
             requests.upstreamConnections.closeExpired()
             delay(if (state.activeEntries.active || !serving) ACTIVE_TASK_INTERVAL else STANDBY_TASK_INTERVAL)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/StateExchange.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/StateExchange.kt
@@ -108,7 +108,7 @@
     /** Logs what was sent to peers since the last call, if anything was. */
     fun logReplies() {
         registrationSender.logReplies()
-        transfers.flush(book.stateVersion)
+        transfers.flush(book.stateVersion.row)
     }
 
     /** Reply to a peer's request for [path]; null when the path is something else. */
@@ -123,7 +123,8 @@
     }
 
     /** Receivers of configurations and of registrations are bounded apart: a receiver of both has a slot of each. */
-    private fun admission(ticker: Ticker) = TransferAdmission(TransferSlots.forLink(linkMbps), peerTakesCallers, ticker)
+    private fun <V : Comparable<V>> admission(ticker: Ticker) =
+        TransferAdmission<V>(TransferSlots.forLink(linkMbps), peerTakesCallers, ticker)
 
     private suspend inline fun <reified T : Any> ask(address: String, path: String): T? {
         val bytes = call(address, path) ?: return null
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/TransferRecorder.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/TransferRecorder.kt
@@ -6,6 +6,7 @@
 import io.poplarwood.gateway.log.GatewayEvent
 import io.poplarwood.gateway.metrics.GatewayMetrics
 import io.poplarwood.gateway.metrics.TransferEvent
+import io.poplarwood.gateway.store.StoreVersion
 import kotlin.time.Duration
 
 /** Writes transfers to [log] and counts them; what was sent is logged as a sum at each [flush]. */
@@ -18,7 +19,7 @@
     private var busyReplies = 0
 
     override fun encoded(change: ConfigurationChange, bytes: Int, took: Duration) =
-        log.log(GatewayEvent.STATE_ENCODED, change.from, change.to, bytes, took.inWholeMilliseconds)
+        log.log(GatewayEvent.STATE_ENCODED, change.from?.row, change.to.row, bytes, took.inWholeMilliseconds)
 
     override fun sent(bytes: Int) {
         pieces++
@@ -34,7 +35,8 @@
     override fun received(peer: String, change: ConfigurationChange, bytes: Int, took: Duration) {
         metrics.transferred(TransferEvent.RECEIVED, bytes)
         val routes = change.added.size + change.removed.size
-        log.log(GatewayEvent.STATE_FETCHED, peer, change.from, change.to, routes, bytes, took.inWholeMilliseconds)
+        val tookMs = took.inWholeMilliseconds
+        log.log(GatewayEvent.STATE_FETCHED, peer, change.from?.row, change.to.row, routes, bytes, tookMs)
     }
 
     override fun failed(peer: String, reason: String, took: Duration) {
@@ -43,7 +45,7 @@
     }
 
     /** Writes what was sent since the last call, if anything was. */
-    fun flush(storeVersion: Long) {
+    fun flush(storeVersion: StoreVersion) {
         if (pieces + busyReplies == 0) return
         log.log(GatewayEvent.STATE_SENT, storeVersion, pieces, bytes, busyReplies)
         pieces = 0
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/AnnouncedVersions.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/AnnouncedVersions.kt
@@ -13,7 +13,7 @@
      * Records that [source] announced [version] at [at]. A version below one that is recorded already adds nothing:
      * it existed before that one was announced.
      */
-    fun record(version: Long, at: Duration, source: String) {
+    fun record(version: StoreVersion, at: Duration, source: String) {
         val newest = announcements.lastOrNull()
         if (newest != null && version <= newest.version) return
         // Without a limit, an entry that can never catch up would collect all later versions.
@@ -25,10 +25,10 @@
     }
 
     /** The earliest announcement of a version newer than [version]; null when there is none. */
-    fun firstAfter(version: Long): Announcement? = announcements.firstOrNull { it.version > version }
+    fun firstAfter(version: StoreVersion): Announcement? = announcements.firstOrNull { it.version > version }
 
     /** Removes the announcements of [version] and older ones. */
-    fun removeUpTo(version: Long) {
+    fun removeUpTo(version: StoreVersion) {
         while (announcements.isNotEmpty() && announcements.first().version <= version) announcements.removeFirst()
     }
 
@@ -37,7 +37,7 @@
      * @property at when this entry heard of it
      * @property source name of the entry that announced it, or `store`
      */
-    data class Announcement(val version: Long, val at: Duration, val source: String)
+    data class Announcement(val version: StoreVersion, val at: Duration, val source: String)
 
     private companion object {
         const val MAX_ANNOUNCEMENTS = 64
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/ConfigurationFreshness.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/ConfigurationFreshness.kt
@@ -16,24 +16,25 @@
     private val receivedByPeers = PeerVersions()
 
     /** Newest version that is in force here, or that holds an older desired state than the one in force. */
-    private var acceptedVersion = 0L
+    var acceptedVersion: StoreVersion = StoreVersion.NONE
+        private set
 
-    /** Newest version that this entry received and could not decode; 0 when there is none. */
-    private var unreadableVersion = 0L
+    /** Newest version that this entry received and could not decode, if any. */
+    private var unreadableVersion = StoreVersion.NONE
 
     /** Number of versions that could not be decoded. */
     var unreadableCount: Long = 0
         private set
 
     /** Newest version that this entry has received, whether it could decode it or not. */
-    val receivedVersion: Long get() = maxOf(acceptedVersion, unreadableVersion)
+    val receivedVersion: StoreVersion get() = maxOf(acceptedVersion, unreadableVersion)
 
     /** When it was last certain that the store has no version above [receivedVersion]. */
     var confirmedAt: Duration = -Duration.INFINITE
         private set
 
     /** Records that [version] is in force, or was received and holds an older desired state than the one in force. */
-    fun accept(version: Long) {
+    fun accept(version: StoreVersion) {
         acceptedVersion = maxOf(acceptedVersion, version)
         announced.removeUpTo(acceptedVersion)
     }
@@ -41,7 +42,7 @@
     /**
      * Records that [version], received from [source] at [at], cannot be decoded. Returns false when this was known.
      */
-    fun reject(version: Long, at: Duration, source: String): Boolean {
+    fun reject(version: StoreVersion, at: Duration, source: String): Boolean {
         if (version <= receivedVersion) return false
         unreadableVersion = version
         unreadableCount++
@@ -61,7 +62,13 @@
      * @param received newest version that the peer has received
      * @param peerConfirmedAt time before which the store had no version above [received]
      */
-    fun heard(peer: String, inForce: Long, received: Long, peerConfirmedAt: Duration, now: Duration) {
+    fun heard(
+        peer: String,
+        inForce: StoreVersion,
+        received: StoreVersion,
+        peerConfirmedAt: Duration,
+        now: Duration,
+    ) {
         inForceAtPeers[peer] = inForce
         receivedByPeers[peer] = received
         if (received > acceptedVersion) announced.record(received, now, peer)
@@ -81,7 +88,7 @@
     }
 
     /** Newest version that this entry has or that another entry has received. */
-    val newestKnown: Long get() = maxOf(receivedVersion, receivedByPeers.newest)
+    val newestKnown: StoreVersion get() = maxOf(receivedVersion, receivedByPeers.newest)
 
     /** Whether the newest version that is known has been received here and cannot be decoded. */
     val unreadable: Boolean get() = unreadableVersion > acceptedVersion && newestKnown <= unreadableVersion
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/FollowCoordinator.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/FollowCoordinator.kt
@@ -22,11 +22,11 @@
     /**
      * Store version up to which this entry has the rows of [topic], whether they came from the store or from a peer.
      */
-    fun version(topic: Topic): Long
+    fun version(topic: Topic): StoreVersion
 
     /**
      * Publishes to other entries that the store returned [rows] of [topic], the first ones that changed after version
      * [after].
      */
-    fun rowsChanged(topic: Topic, rows: RowSnapshot, after: Long)
+    fun rowsChanged(topic: Topic, rows: RowSnapshot, after: StoreVersion)
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/PeerVersions.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/PeerVersions.kt
@@ -1,15 +1,18 @@
 package io.poplarwood.gateway.store
 
-/** A version for each other entry that is not silent. */
+/** A store version for each other entry that is not silent. */
 internal class PeerVersions {
-    private val byPeer = HashMap<String, Long>()
+    private val byPeer = HashMap<String, StoreVersion>()
 
-    /** The newest of all versions; 0 when no other entry is known. Kept, because each request asks for it. */
-    var newest: Long = 0
+    /**
+     * The newest of all versions; [StoreVersion.NONE] when no other entry is known. Kept, because each request asks for
+     * it.
+     */
+    var newest: StoreVersion = StoreVersion.NONE
         private set
 
-    operator fun set(peer: String, version: Long) {
-        val previous = byPeer.put(peer, version) ?: 0
+    operator fun set(peer: String, version: StoreVersion) {
+        val previous = byPeer.put(peer, version)
         if (version >= newest) {
             newest = version
         } else if (previous == newest) {
@@ -22,6 +25,6 @@
     }
 
     private fun findNewest() {
-        newest = byPeer.values.maxOrNull() ?: 0
+        newest = byPeer.values.maxOrNull() ?: StoreVersion.NONE
     }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/RowSnapshot.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/RowSnapshot.kt
@@ -1,4 +1,4 @@
 package io.poplarwood.gateway.store
 
 /** Rows of a topic as of store version [version]. */
-class RowSnapshot(val rows: List<StoredRow>, val version: Long)
+class RowSnapshot(val rows: List<StoredRow>, val version: StoreVersion)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateReplica.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateReplica.kt
@@ -6,6 +6,7 @@
 import io.poplarwood.gateway.configuration.BackgroundWork
 import io.poplarwood.gateway.configuration.Configuration
 import io.poplarwood.gateway.configuration.ConfigurationHistory
+import io.poplarwood.gateway.configuration.ConfigurationVersion
 import io.poplarwood.gateway.configuration.compute
 import io.poplarwood.gateway.log.EventLog
 import io.poplarwood.gateway.log.GatewayEvent
@@ -25,6 +26,7 @@
  * @param background where desired states are decoded, which takes long when there are many routes
  * @param onChanged called after each change
  * @param onUnavailable called with each upstream that receives no more requests
+ * @param registrationExpiry time after which the registration of an upstream that has ended is gone
  * @param onEnded called with each upstream whose incarnation has ended, whether it announced this or not
  */
 internal class StateReplica(
@@ -35,11 +37,17 @@
     private val log: EventLog,
     private val onChanged: () -> Unit,
     private val onUnavailable: (UpstreamRow) -> Unit,
+    private val registrationExpiry: Duration = DEFAULT_REGISTRATION_EXPIRY,
     private val onEnded: (UpstreamRow) -> Unit = {},
 ) {
     private val upstreamRows = TreeMap<String, StoredRow>()
     private val pendingRemoval = HashMap<String, Duration>()
     private val removedVersions = RecentVersions(MAX_REMOVED_VERSIONS)
+    private val returning = ReturningRegistrations(registrationExpiry)
+    private var newestSeen = StoreVersion.NONE
+
+    /** Called when the store has come back from an older copy. */
+    var onRestored: () -> Unit = {}
 
     /** The desired state in force and those before it. */
     val history = ConfigurationHistory()
@@ -53,15 +61,15 @@
     /** Routes of [state]; empty until the first one has arrived. */
     val routes: RouteTable get() = state?.routes ?: RouteTable.EMPTY
 
-    /** Store version of the row of [state]. */
-    val stateVersion: Long get() = history.newest?.storeVersion ?: 0
+    /** Version of [state]; [ConfigurationVersion.NONE] until there is one. */
+    val stateVersion: ConfigurationVersion get() = history.newest?.version ?: ConfigurationVersion.NONE
 
     /** Store version of the newest change of a registration. */
-    var upstreamVersion: Long = 0
+    var upstreamVersion: StoreVersion = StoreVersion.NONE
         private set
 
     /** Store version up to which every registration has arrived. */
-    var coveredVersion: Long = 0
+    var coveredVersion: StoreVersion = StoreVersion.NONE
         private set
 
     /** When this entry or a peer last confirmed that the registrations are the newest. */
@@ -74,26 +82,39 @@
     /** Until this time a missing registration may come back, because the store was unreachable lately. */
     var expiryGraceUntil: Duration = -Duration.INFINITE
 
+    /** Records that the store, or a row of it, had [version]. */
+    fun observe(version: StoreVersion) {
+        val before = newestSeen
+        newestSeen = maxOf(before, version)
+        if (before == StoreVersion.NONE || !version.isOfLaterEraThan(before)) return
+        log.log(GatewayEvent.STORE_RESTORED, before, version)
+        // What upstreams wrote since the copy is written again.
+        expiryGraceUntil = ticker.now() + RESTORE_GRACE
+        onRestored()
+    }
+
     /** Decodes the rows of the desired state in the background and applies what is newer than the current one. */
     suspend fun applyStateRows(rows: RowSnapshot, source: String) {
+        observe(rows.version)
         for (row in rows.rows) {
             val value = row.value
-            if (value != null && row.version > stateVersion) decode(row, value, source)?.let { applyState(it, source) }
+            if (value != null && row.version > freshness.acceptedVersion) {
+                decode(row, value, source)?.let { applyState(it, source) }
+            }
         }
     }
 
     /** Applies [next] unless it is older than the current desired state. */
     fun applyState(next: Configuration, source: String) {
-        if (next.storeVersion <= stateVersion) return
-        freshness.accept(next.storeVersion)
-        if (next.state.version < (state?.version ?: 0)) return
+        freshness.accept(next.version.row)
+        if (next.version <= stateVersion) return
         history.add(next)
         log.log(
             GatewayEvent.STATE_IN_FORCE,
             next.state.version,
             next.state.routes.size,
             source,
-            next.storeVersion,
+            next.version.row,
         )
         notifyChanged()
     }
@@ -119,15 +140,16 @@
      * @param newest store version of the newest change among the registrations, when it is known; a removal leaves no
      * row
      */
-    fun applyAllUpstreams(rows: RowSnapshot, source: String, newest: Long? = null) {
+    fun applyAllUpstreams(rows: RowSnapshot, source: String, newest: StoreVersion? = null) {
         if (rows.version < coveredVersion) return
-        val isFirst = upstreamVersion == 0L
+        observe(rows.version)
+        val isFirst = upstreamVersion == StoreVersion.NONE
         for (row in rows.rows) applyUpstream(row, source, logged = !isFirst)
         if (isFirst) logFirst(rows, source)
         val present = rows.rows.mapTo(HashSet()) { it.key }
         val missing = upstreamRows.values.filter { it.key !in present && it.version <= rows.version }.map { it.key }
         missing.forEach { handleRemoval(it, rows.version, source) }
-        val removalVersion = if (missing.isEmpty()) 0 else rows.version
+        val removalVersion = if (missing.isEmpty()) StoreVersion.NONE else rows.version
         advanceVersions(rows, newest ?: maxOf(removalVersion, newestVersion(rows)))
     }
 
@@ -137,7 +159,13 @@
      *
      * @param newest store version of the newest change among the registrations, when it is known
      */
-    fun applyUpstreamChanges(rows: RowSnapshot, after: Long, source: String, newest: Long? = null): Boolean {
+    fun applyUpstreamChanges(
+        rows: RowSnapshot,
+        after: StoreVersion,
+        source: String,
+        newest: StoreVersion? = null,
+    ): Boolean {
+        observe(rows.version)
         for (row in rows.rows) applyUpstream(row, source)
         val complete = after <= coveredVersion
         if (complete) advanceVersions(rows, newest ?: newestVersion(rows)) else onChanged()
@@ -145,7 +173,7 @@
     }
 
     /** Records that no registration changed up to [version]. */
-    fun advanceCoveredVersion(version: Long) {
+    fun advanceCoveredVersion(version: StoreVersion) {
         coveredVersion = maxOf(coveredVersion, version)
     }
 
@@ -155,9 +183,10 @@
         log.log(GatewayEvent.UPSTREAMS_READ, rows.rows.size, upstreams.all.size, draining, source, rows.version)
     }
 
-    private fun newestVersion(rows: RowSnapshot): Long = rows.rows.maxOfOrNull { it.version } ?: 0
+    private fun newestVersion(rows: RowSnapshot): StoreVersion =
+        rows.rows.maxOfOrNull { it.version } ?: StoreVersion.NONE
 
-    private fun advanceVersions(rows: RowSnapshot, newest: Long) {
+    private fun advanceVersions(rows: RowSnapshot, newest: StoreVersion) {
         coveredVersion = maxOf(coveredVersion, rows.version)
         if (newest <= upstreamVersion) return
         upstreamVersion = newest
@@ -169,8 +198,16 @@
         if (at > confirmedAt) confirmedAt = at
     }
 
-    /** Removes registrations that expired around an outage of the store and did not come back. */
-    fun removeExpired() {
+    /**
+     * Removes registrations that expired around an outage of the store and did not come back, and uses those that came
+     * back with an older copy and did not expire.
+     */
+    fun checkExpiry() {
+        for (key in returning.releaseDue(confirmedAt)) {
+            val row = upstreamRows[key] ?: continue
+            row.value?.let { use(row, it, null, logged = true) }
+            onChanged()
+        }
         if (pendingRemoval.isEmpty()) return
         val now = ticker.now()
         pendingRemoval.filterValues { it <= now }.keys.toList().forEach {
@@ -187,30 +224,48 @@
      * The registrations that changed or were removed after store version [covered]; null when removals of that time are
      * no longer known.
      */
-    fun upstreamChanges(covered: Long): List<StoredRow>? {
-        if (covered < removedVersions.droppedUpTo || covered == 0L) return null
+    fun upstreamChanges(covered: StoreVersion): List<StoredRow>? {
+        if (covered < removedVersions.droppedUpTo || covered == StoreVersion.NONE) return null
         val removed = removedVersions.after(covered).filterKeys { it !in upstreamRows }
         return upstreamRows.values.filter { it.version > covered } +
             removed.map { (key, at) -> StoredRow(key, null, at) }
     }
 
     private fun notifyChanged() {
-        if (state != null && upstreamVersion > 0) initialized.complete(Unit)
+        if (state != null && upstreamVersion > StoreVersion.NONE) initialized.complete(Unit)
         onChanged()
     }
 
     private fun applyUpstream(row: StoredRow, source: String, logged: Boolean = true) {
+        // Late news of an era whose changes may be lost; what is not lost has come with the later era.
+        if (coveredVersion.isOfLaterEraThan(row.version)) return
         val current = upstreamRows[row.key]
-        if (maxOf(current?.version ?: 0, removedVersions[row.key]) >= row.version) return
+        if (maxOf(current?.version ?: StoreVersion.NONE, removedVersions[row.key]) >= row.version) return
         val value = row.value ?: return handleRemoval(row.key, row.version, source)
         upstreamRows[row.key] = row
-        pendingRemoval.remove(row.key)
+        val wasInUse = pendingRemoval.remove(row.key) != null || current != null
+        if (!wasInUse && cameBackWithCopy(row)) return returning.hold(row.key, ticker.now())
+        returning.release(row.key)
+        use(row, value, current, logged)
+    }
+
+    private fun cameBackWithCopy(row: StoredRow): Boolean {
+        val removed = removedVersions[row.key]
+        return removed != StoreVersion.NONE && row.version.isOfLaterEraThan(removed)
+    }
+
+    private fun use(row: StoredRow, value: ByteArray, current: StoredRow?, logged: Boolean) {
         val record = codec.upstream(row.key, value).getOrElse {
             log.log(GatewayEvent.UPSTREAM_UNREADABLE, row.key, it.detail)
             upstreams.remove(row.key)?.let(onUnavailable)
             return
         }
         val before = upstreams[row.key]?.record
+        // An older copy may say that an upstream is ready which has announced since that it is draining.
+        val isOfLaterEra = current != null && row.version.isOfLaterEraThan(current.version)
+        if (isOfLaterEra && before?.draining == true) {
+            upstreams.markDraining(before.id, before.startMs, ticker.now())
+        }
         if (before == null && logged) upstreams.withAddress(record.address).forEach(onEnded)
         upstreams.put(record, ticker.now())?.let {
             onUnavailable(it)
@@ -230,8 +285,9 @@
         if (record.draining) upstreams[row.key]?.let(onUnavailable)
     }
 
-    private fun handleRemoval(key: String, version: Long, source: String) {
+    private fun handleRemoval(key: String, version: StoreVersion, source: String) {
         removedVersions[key] = version
+        returning.release(key)
         if (upstreamRows.remove(key) == null) return
         val row = upstreams[key] ?: return
         val now = ticker.now()
@@ -243,7 +299,7 @@
         }
     }
 
-    private fun remove(key: String, reason: String, version: Long) {
+    private fun remove(key: String, reason: String, version: StoreVersion) {
         val row = upstreams.remove(key) ?: return
         log.log(GatewayEvent.UPSTREAM_GONE, key, row.record.service, reason, version)
         onUnavailable(row)
@@ -257,6 +313,10 @@
         val EXPIRY_GRACE = 1_700.milliseconds
         val RECENT_ANSWER = 3_000.milliseconds
 
+        /** Upstreams have written again what a restored store lost by then. */
+        val RESTORE_GRACE = 4_000.milliseconds
+        val DEFAULT_REGISTRATION_EXPIRY = 5_500.milliseconds
+
         /** Number of removed registrations whose versions are kept, so that late updates do not restore them. */
         const val MAX_REMOVED_VERSIONS = 2_000
     }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateStore.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateStore.kt
@@ -16,14 +16,15 @@
     suspend fun read(topic: Topic, onArriving: () -> Unit = {}): Result<RowSnapshot, StoreError>
 
     /**
-     * Long poll: rows of [topic] that changed after version [after], as soon as there is one, or none after [wait].
+     * Long poll: rows of [topic] that changed after version [after], as soon as there is one, or none after [wait]. An
+     * answer of another era than that of [after] does not say what changed.
      *
      * @param limit time until the answer has to begin to arrive, with [wait]
      * @param onArriving called when an answer with rows begins to arrive
      */
     suspend fun changes(
         topic: Topic,
-        after: Long,
+        after: StoreVersion,
         wait: Duration,
         limit: Duration,
         onArriving: () -> Unit = {},
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateWatcher.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateWatcher.kt
@@ -1,6 +1,7 @@
 package io.poplarwood.gateway.store
 
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.getOrElse
 import io.poplarwood.api.random.RandomSource
@@ -27,7 +28,7 @@
     private val log: EventLog,
     private val coordinator: FollowCoordinator,
 ) {
-    private var version = 0L
+    private var version = StoreVersion.NONE
     private var unansweredSince: Duration? = null
     private var backoff = INITIAL_BACKOFF
     private var responseMargin = RESPONSE_MARGIN
@@ -59,10 +60,8 @@
             hasPolled = true
             val startedAt = ticker.now()
             val result = observeArrival { store.changes(topic, version, wait, wait + responseMargin, it) }
-            if (result.getError() == StoreError.HistoryGone) {
-                val asked = version
-                readSnapshot()
-                log.log(GatewayEvent.STORE_READ_AGAIN, topic, asked, version)
+            if (result.getError() == StoreError.HistoryGone || result.get().isOfOtherEra()) {
+                readAgain()
                 continue
             }
             val rows = handleResult(result)
@@ -77,6 +76,17 @@
         }
     }
 
+    /** The changes in an answer of another era follow a version that has nothing to do with the one asked for. */
+    private fun RowSnapshot?.isOfOtherEra() = this != null && !version.isOfSameEraAs(this@StateWatcher.version)
+
+    private suspend fun readAgain() {
+        val asked = version
+        readSnapshot()
+        log.log(GatewayEvent.STORE_READ_AGAIN, topic, asked, version)
+        // A store without eras that came back older does not get further by itself.
+        if (version <= asked) awaitRetry()
+    }
+
     /** Makes a [call] and tells other entries while an answer with rows is arriving. */
     private suspend fun observeArrival(
         call: suspend (onArriving: () -> Unit) -> Result<RowSnapshot, StoreError>,
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/configuration/ChangeSizesSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/configuration/ChangeSizesSpec.kt
@@ -9,6 +9,7 @@
 import io.poplarwood.gateway.route.RouteTable
 import io.poplarwood.gateway.route.ServiceShare
 import io.poplarwood.gateway.route.ServiceSpec
+import io.poplarwood.gateway.support.storeVersion
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toImmutableMap
 import org.junit.jupiter.api.Nested
@@ -48,7 +49,7 @@
         .associateBy { it.name }.toImmutableMap()
 
     private fun configuration(version: Long, routes: List<Route>) =
-        Configuration(DesiredState(version, services, RouteTable.of(routes), CallerLimits()), version)
+        Configuration(DesiredState(version, services, RouteTable.of(routes), CallerLimits()), storeVersion(version))
 
     private fun size(earlier: List<Route>?, later: List<Route>): Int {
         val change = ConfigurationChange.between(earlier?.let { configuration(1, it) }, configuration(2, later))
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/configuration/ConfigurationChangeSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/configuration/ConfigurationChangeSpec.kt
@@ -3,6 +3,7 @@
 import io.poplarwood.api.id.ServiceName
 import io.poplarwood.gateway.route.ServiceSpec
 import io.poplarwood.gateway.support.configuration
+import io.poplarwood.gateway.support.storeVersion
 import kotlinx.collections.immutable.toImmutableMap
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
@@ -47,7 +48,10 @@
     @Nested
     inner class `services` {
         private fun withServices(version: Long, specs: List<ServiceSpec>) = configuration(version, routes = 10).let {
-            Configuration(it.state.copy(services = specs.associateBy(ServiceSpec::name).toImmutableMap()), version)
+            Configuration(
+                it.state.copy(services = specs.associateBy(ServiceSpec::name).toImmutableMap()),
+                storeVersion(version),
+            )
         }
 
         private val spec = ServiceSpec(ServiceName("kept"), "/health", 200)
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/configuration/ConfigurationFetcherSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/configuration/ConfigurationFetcherSpec.kt
@@ -4,6 +4,7 @@
 import io.poplarwood.api.time.Ticker
 import io.poplarwood.gateway.support.NoTransferLog
 import io.poplarwood.gateway.support.configuration
+import io.poplarwood.gateway.support.storeVersion
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
@@ -28,7 +29,7 @@
     private var holders = listOf("p", "q")
 
     /** Version that the holders announce. */
-    private var offeredVersion = Long.MAX_VALUE
+    private var offeredVersion = configuration(9, routes = 0).version
 
     /** What a peer does instead of answering as it should. */
     private var disturbance: suspend (peer: String, query: TransferQuery) -> TransferReply? =
@@ -38,7 +39,7 @@
     private fun TestScope.fetcher(): ConfigurationFetcher {
         val ticker = Ticker { testScheduler.currentTime.milliseconds }
         senders = listOf("p", "q", "r").associateWith {
-            val admission = TransferAdmission(TransferSlots(2), { false }, ticker)
+            val admission = TransferAdmission<ConfigurationVersion>(TransferSlots(2), { false }, ticker)
             ConfigurationSender(newer, admission, { it() }, ticker, NoTransferLog)
         }
         return ConfigurationFetcher(
@@ -48,7 +49,7 @@
                 delay(5.milliseconds)
                 disturbance(peer, query)
             },
-            TransferSources("self", { if (it < offeredVersion) holders else emptyList() }, ticker),
+            TransferSources("self", { isUseful -> if (isUseful(offeredVersion)) holders else emptyList() }, ticker),
             own,
             { it() },
             SplitMix(1),
@@ -111,7 +112,7 @@
         @Test
         fun `requests the whole when a change does not fit the own version`() = runTest {
             val fetcher = fetcher()
-            own.add(Configuration(configuration(1, routes = 3).state, 10))
+            own.add(Configuration(configuration(1, routes = 3).state, storeVersion(10)))
             assertEquals(2_000, fetcher.fetch()?.configuration?.state?.routes?.size)
         }
 
@@ -121,7 +122,7 @@
             val fetcher = fetcher()
             val whole = ConfigurationHistory().apply { add(configuration(2, routes = 2_000)) }
             val ticker = Ticker { Duration.ZERO }
-            val admission = TransferAdmission(TransferSlots(2), { false }, ticker)
+            val admission = TransferAdmission<ConfigurationVersion>(TransferSlots(2), { false }, ticker)
             val other = ConfigurationSender(whole, admission, { it() }, ticker, NoTransferLog)
             disturbance = { peer, query ->
                 when {
@@ -153,12 +154,17 @@
         /** Guards against whole configurations for entries whose peers skipped a version. */
         @Test
         fun `takes the change from an earlier version when the peer skipped the newest own one`() = runTest {
-            own.add(Configuration(configuration(1, routes = 12).state, 15))
+            own.add(Configuration(configuration(1, routes = 12).state, storeVersion(15)))
             val fetcher = fetcher()
             val replies = ArrayList<TransferReply>()
             disturbance = { peer, query -> senders.getValue(peer).reply(query).also(replies::add) }
             assertEquals(2_000, fetcher.fetch()?.configuration?.state?.routes?.size)
-            assertEquals(setOf(10L), replies.map { assertIs<TransferReply.Piece>(it).from }.toSet())
+            assertEquals(
+                setOf(configuration(1, routes = 0).version),
+                replies.map {
+                    assertIs<TransferReply.Piece>(it).from
+                }.toSet(),
+            )
         }
 
         /** Guards against an entry that waits for a version that its peers have skipped while they have a newer one. */
@@ -170,7 +176,7 @@
                 add(configuration(3, routes = 2_100))
             }
             val ticker = Ticker { testScheduler.currentTime.milliseconds }
-            val admission = TransferAdmission(TransferSlots(2), { false }, ticker)
+            val admission = TransferAdmission<ConfigurationVersion>(TransferSlots(2), { false }, ticker)
             val other = ConfigurationSender(skipping, admission, { it() }, ticker, NoTransferLog)
             disturbance = { peer, query ->
                 when {
@@ -206,7 +212,7 @@
         @Test
         fun `requests a whole that does not fit only a few times`() = runTest {
             val fetcher = fetcher()
-            offeredVersion = 20
+            offeredVersion = configuration(2, routes = 0).version
             disturbance = { peer, query ->
                 when (val reply = senders.getValue(peer).reply(query)) {
                     is TransferReply.Piece ->
@@ -229,7 +235,7 @@
         @Test
         fun `requests the version after one that does not fit at once`() = runTest {
             val fetcher = fetcher()
-            offeredVersion = 20
+            offeredVersion = configuration(2, routes = 0).version
             disturbance = { peer, query ->
                 when (val reply = senders.getValue(peer).reply(query)) {
                     is TransferReply.Piece ->
@@ -242,13 +248,16 @@
             delay(1.seconds)
             disturbance = { peer, query -> senders.getValue(peer).reply(query) }
             newer.add(configuration(3, routes = 2_100))
-            offeredVersion = 30
+            offeredVersion = configuration(3, routes = 0).version
             assertEquals(2_100, fetcher.fetch()?.configuration?.state?.routes?.size)
         }
 
         @Test
         fun `takes the whole when the peer has none of the own versions`() = runTest {
-            own = ConfigurationHistory().apply { add(Configuration(configuration(1, routes = 3).state, 15)) }
+            own =
+                ConfigurationHistory().apply {
+                    add(Configuration(configuration(1, routes = 3).state, storeVersion(15)))
+                }
             assertEquals(2_000, fetcher().fetch()?.configuration?.state?.routes?.size)
         }
     }
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/PeerSyncSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/PeerSyncSpec.kt
@@ -13,8 +13,10 @@
 import io.poplarwood.gateway.store.StateCodec
 import io.poplarwood.gateway.store.StateReplica
 import io.poplarwood.gateway.store.StoreError
+import io.poplarwood.gateway.store.StoreVersion
 import io.poplarwood.gateway.store.StoredRow
 import io.poplarwood.gateway.support.hello
+import io.poplarwood.gateway.support.storeVersion
 import io.poplarwood.gateway.support.upstream
 import io.poplarwood.gateway.upstream.Upstream
 import io.poplarwood.gateway.upstream.UpstreamTable
@@ -49,7 +51,12 @@
     private val replySizes = ArrayList<Int>()
 
     private fun register(entry: Entry, keys: IntRange, version: Long) = entry.book.applyAllUpstreams(
-        RowSnapshot(keys.map { StoredRow("u$it", "x".repeat(300).encodeToByteArray(), version) }, version),
+        RowSnapshot(
+            keys.map {
+                StoredRow("u$it", "x".repeat(300).encodeToByteArray(), storeVersion(version))
+            },
+            storeVersion(version),
+        ),
         "s",
     )
 
@@ -62,7 +69,7 @@
     private fun TestScope.sync() {
         val version = sender.book.upstreamVersion
         peers.onHeartbeat(hello("sender").copy(upstreamVersion = version), Duration.ZERO)
-        val admission = TransferAdmission(TransferSlots(2), { false }, TICKER)
+        val admission = TransferAdmission<StoreVersion>(TransferSlots(2), { false }, TICKER)
         val answering = RegistrationSender(sender.book, admission, { it() }, TICKER, EventLog())
         val ask: suspend (String, RegistrationQuery) -> RegistrationReply? = { _, query ->
             val parsed = assertNotNull(RegistrationQuery.parse(query.encode()))
@@ -104,20 +111,23 @@
         fun `receives only what changed meanwhile, removals included`() = runTest {
             register(sender, 1..1_700, version = 10)
             register(receiver, 1..1_700, version = 10)
-            val changes = listOf(StoredRow("u7", null, 11), StoredRow("new", ByteArray(300), 12))
-            sender.book.applyUpstreamChanges(RowSnapshot(changes, 12), 10, "s")
+            val changes = listOf(
+                StoredRow("u7", null, storeVersion(11)),
+                StoredRow("new", ByteArray(300), storeVersion(12)),
+            )
+            sender.book.applyUpstreamChanges(RowSnapshot(changes, storeVersion(12)), storeVersion(10), "s")
             sync()
             assertEquals(sender.upstreams.all.map { it.id }.toSet(), receiver.upstreams.all.map { it.id }.toSet())
-            assertEquals(12, receiver.book.coveredVersion)
+            assertEquals(storeVersion(12), receiver.book.coveredVersion)
             assertTrue(replySizes.single() < 1_000, replySizes.toString())
         }
     }
 
     @Nested
     inner class `an entry that has just fetched` {
-        private fun TestScope.changeAndSync(version: Long): Long {
-            val change = listOf(StoredRow("u$version", ByteArray(300), version))
-            sender.book.applyUpstreamChanges(RowSnapshot(change, version), version - 1, "s")
+        private fun TestScope.changeAndSync(version: Long): StoreVersion {
+            val change = listOf(StoredRow("u$version", ByteArray(300), storeVersion(version)))
+            sender.book.applyUpstreamChanges(RowSnapshot(change, storeVersion(version)), storeVersion(version - 1), "s")
             sync()
             return receiver.book.upstreamVersion
         }
@@ -129,9 +139,9 @@
             register(sender, 1..10, version = 10)
             sync()
             now += PeerSync.STANDBY_INTERVAL - 1.milliseconds
-            assertEquals(10, changeAndSync(11))
+            assertEquals(storeVersion(10), changeAndSync(11))
             now += 1.milliseconds
-            assertEquals(12, changeAndSync(12))
+            assertEquals(storeVersion(12), changeAndSync(12))
         }
 
         /** Guards against an entry that sends requests to an upstream that left while it waited. */
@@ -139,7 +149,7 @@
         fun `fetches again at once while it takes callers`() = runTest {
             register(sender, 1..10, version = 10)
             sync()
-            assertEquals(11, changeAndSync(11))
+            assertEquals(storeVersion(11), changeAndSync(11))
         }
 
         /** Guards against a wait that outlasts the beginning of requests. */
@@ -148,10 +158,10 @@
             takesCallers = false
             register(sender, 1..10, version = 10)
             sync()
-            assertEquals(10, changeAndSync(11))
+            assertEquals(storeVersion(10), changeAndSync(11))
             takesCallers = true
             sync()
-            assertEquals(11, receiver.book.upstreamVersion)
+            assertEquals(storeVersion(11), receiver.book.upstreamVersion)
         }
     }
 
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedStore.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedStore.kt
@@ -7,6 +7,7 @@
 import io.poplarwood.gateway.store.RowSnapshot
 import io.poplarwood.gateway.store.StateStore
 import io.poplarwood.gateway.store.StoreError
+import io.poplarwood.gateway.store.StoreVersion
 import io.poplarwood.gateway.store.StoredRow
 import io.poplarwood.gateway.store.Topic
 import kotlinx.coroutines.delay
@@ -20,7 +21,7 @@
  */
 internal class SimulatedStore {
     private val rows = Topic.entries.associateWith { LinkedHashMap<String, StoredRow>() }
-    private var version = 0L
+    private var version = StoreVersion(1, 0)
 
     /** Names of entries whose calls time out. */
     val downFor = HashSet<String>()
@@ -32,19 +33,19 @@
     val arrivalTime = HashMap<String, Duration>()
 
     /** Version up to which the change history has been dropped. */
-    private var historyStart = 0L
+    private var historyStart = StoreVersion.NONE
 
     /** Number of calls by entry name. */
     val calls = HashMap<String, Int>()
 
     /** Writes [value], or removes the row when it is null. */
     fun put(topic: Topic, key: String, value: String?) {
-        version++
+        advanceVersion()
         rows.getValue(topic)[key] = StoredRow(key, value?.encodeToByteArray(), version)
     }
 
     /** Version of each present row of [topic], by its key. */
-    fun versions(topic: Topic): Map<String, Long> =
+    fun versions(topic: Topic): Map<String, StoreVersion> =
         rows.getValue(topic).values.filter { it.value != null }.associate { it.key to it.version }
 
     /** Drops the change history so far. */
@@ -54,7 +55,7 @@
 
     /** Advances the version of the store as a change of an unrelated row does. */
     fun advanceVersion() {
-        version++
+        version = version.copy(change = version.change + 1)
     }
 
     /** The store as the entry named [entry] reaches it. */
@@ -65,7 +66,7 @@
 
         override suspend fun changes(
             topic: Topic,
-            after: Long,
+            after: StoreVersion,
             wait: Duration,
             limit: Duration,
             onArriving: () -> Unit,
@@ -115,7 +116,10 @@
         }
     }
 
-    private fun changedAfter(topic: Topic, after: Long) = rows.getValue(topic).values.filter { it.version > after }
+    private fun changedAfter(topic: Topic, after: StoreVersion) = rows.getValue(topic).values.filter {
+        it.version >
+            after
+    }
 
     private companion object {
         val STEP = 4.milliseconds
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/UpstreamUpdatePartsSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/UpstreamUpdatePartsSpec.kt
@@ -4,6 +4,7 @@
 import io.poplarwood.gateway.store.RowSnapshot
 import io.poplarwood.gateway.store.StateReplica
 import io.poplarwood.gateway.store.StoredRow
+import io.poplarwood.gateway.support.storeVersion
 import io.poplarwood.gateway.upstream.UpstreamTable
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -15,7 +16,7 @@
     private val upstreams = UpstreamTable()
     private val replica = StateReplica(SimulatedCodec, upstreams, { it() }, { 1.seconds }, EventLog(), {}, {})
 
-    private fun removed(index: Int, version: Long) = StoredRow("i-%08x".format(index), null, version)
+    private fun removed(index: Int, version: Long) = StoredRow("i-%08x".format(index), null, storeVersion(version))
 
     private fun receive(update: PeerMessage.UpstreamUpdate) {
         val rows = update.rows.map { it.toStored() }
@@ -27,10 +28,10 @@
     /** Guards against an entry that takes the rows behind a lost part for all that changed, and never requests it. */
     @Test
     fun `let a receiver that missed one request what it lacks`() {
-        val first = List(CHANGES) { StoredRow("i-%08x".format(it), "ready".encodeToByteArray(), 1L) }
-        replica.applyAllUpstreams(RowSnapshot(first, START), "store")
+        val first = List(CHANGES) { StoredRow("i-%08x".format(it), "ready".encodeToByteArray(), storeVersion(1)) }
+        replica.applyAllUpstreams(RowSnapshot(first, storeVersion(START)), "store")
         val rows = List(CHANGES) { removed(it, START + 1 + it) }
-        val updates = parts.of(RowSnapshot(rows, START + CHANGES), START).orEmpty()
+        val updates = parts.of(RowSnapshot(rows, storeVersion(START + CHANGES)), storeVersion(START)).orEmpty()
         assertEquals(3, updates.size, "${updates.map { it.rows.size }}")
         receive(updates[0])
         receive(updates[2])
@@ -46,14 +47,14 @@
     @Test
     fun `keep the rows of one version together`() {
         val rows = List(CHANGES) { removed(it, START + 1 + it / TRANSACTION) }
-        val updates = parts.of(RowSnapshot(rows, START + CHANGES), START).orEmpty()
+        val updates = parts.of(RowSnapshot(rows, storeVersion(START + CHANGES)), storeVersion(START)).orEmpty()
         assertEquals(CHANGES, updates.sumOf { it.rows.size })
         for ((earlier, later) in updates.zipWithNext()) {
             assertEquals(earlier.last(), later.after)
             assertEquals(emptyList(), later.rows.filter { it.version <= later.after }.map { it.key })
         }
         val together = List(CHANGES) { removed(it, START + 1) }
-        assertNull(parts.of(RowSnapshot(together, START + 1), START))
+        assertNull(parts.of(RowSnapshot(together, storeVersion(START + 1)), storeVersion(START)))
     }
 
     private companion object {
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/runtime/ConfigurationLagLogSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/runtime/ConfigurationLagLogSpec.kt
@@ -13,7 +13,9 @@
 import io.poplarwood.gateway.store.StateCodec
 import io.poplarwood.gateway.store.StateReplica
 import io.poplarwood.gateway.store.StoreError
+import io.poplarwood.gateway.store.StoreVersion
 import io.poplarwood.gateway.store.StoredRow
+import io.poplarwood.gateway.support.storeVersion
 import io.poplarwood.gateway.support.upstream
 import io.poplarwood.gateway.upstream.Upstream
 import io.poplarwood.gateway.upstream.UpstreamTable
@@ -44,9 +46,12 @@
     }
 
     private fun apply(value: String, version: Long) = runBlocking {
-        book.applyStateRows(RowSnapshot(listOf(StoredRow("c", value.encodeToByteArray(), version)), version), "store")
+        book.applyStateRows(snapshot(value, storeVersion(version)), "store")
     }
 
+    private fun snapshot(value: String, version: StoreVersion) =
+        RowSnapshot(listOf(StoredRow("c", value.encodeToByteArray(), version)), version)
+
     private fun checkAfter(time: Duration) {
         now += time
         lagLog.check()
@@ -56,13 +61,13 @@
     @Test
     fun `an entry that lacks a version is logged once after a second, and when it has it`() {
         apply("1", 10)
-        book.freshness.heard("p", 11, 11, now, now)
+        book.freshness.heard("p", storeVersion(11), storeVersion(11), now, now)
         checkAfter(999.milliseconds)
         assertEquals(emptyList(), lines)
         repeat(5) { checkAfter(100.milliseconds) }
         apply("2", 11)
         checkAfter(100.milliseconds)
-        assertEquals(listOf("PW-6114 1099 10 11 p not-received", "PW-6115 1599 11 11 p not-received"), lines)
+        assertEquals(listOf("PW-6114 1099 1.10 1.11 p not-received", "PW-6115 1599 1.11 1.11 p not-received"), lines)
     }
 
     @Test
@@ -70,14 +75,14 @@
         apply("1", 10)
         apply("x", 11)
         checkAfter(1.seconds)
-        assertEquals(listOf("PW-6114 1000 10 11 store unreadable"), lines)
+        assertEquals(listOf("PW-6114 1000 1.10 1.11 store unreadable"), lines)
     }
 
     /** Guards against lines for the short lag of each change. */
     @Test
     fun `a short lag is not logged`() {
         apply("1", 10)
-        book.freshness.heard("p", 11, 11, now, now)
+        book.freshness.heard("p", storeVersion(11), storeVersion(11), now, now)
         checkAfter(500.milliseconds)
         apply("2", 11)
         checkAfter(2.seconds)
@@ -89,7 +94,7 @@
     fun `a later row that holds an older desired state is not newer`() {
         apply("5", 10)
         apply("4", 11)
-        book.freshness.heard("p", 11, 11, now, now)
+        book.freshness.heard("p", storeVersion(11), storeVersion(11), now, now)
         checkAfter(2.seconds)
         assertEquals(emptyList(), lines)
     }
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/store/ConfigurationFreshnessSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/store/ConfigurationFreshnessSpec.kt
@@ -1,5 +1,6 @@
 package io.poplarwood.gateway.store
 
+import io.poplarwood.gateway.support.storeVersion
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -10,11 +11,11 @@
 import kotlin.time.Duration.Companion.seconds
 
 class ConfigurationFreshnessSpec {
-    private val freshness = ConfigurationFreshness().apply { accept(10) }
+    private val freshness = ConfigurationFreshness().apply { accept(storeVersion(10)) }
     private val now = 100.seconds
 
     private fun heard(peer: String, inForce: Long, confirmedAt: Duration, received: Long = inForce) =
-        freshness.heard(peer, inForce, received, confirmedAt, now)
+        freshness.heard(peer, storeVersion(inForce), storeVersion(received), confirmedAt, now)
 
     private fun overtakenSince() = freshness.age(now).overtakenSince
 
@@ -54,7 +55,7 @@
         @Test
         fun `overtakes this entry from the moment at which it is announced`() {
             assertFalse(freshness.age(now).newerKnown)
-            freshness.heard("p", 11, 11, now, 50.seconds)
+            freshness.heard("p", storeVersion(11), storeVersion(11), now, 50.seconds)
             heard("q", 11, now)
             assertEquals(50.seconds, overtakenSince())
             assertEquals("p", freshness.behind?.source)
@@ -63,11 +64,11 @@
         /** Guards against a chain of changes in which an entry never counts as long behind, or always does. */
         @Test
         fun `counts from its own announcement once the earlier ones are in force`() {
-            freshness.heard("p", 11, 11, now, 50.seconds)
-            freshness.heard("p", 12, 12, now, 60.seconds)
-            freshness.accept(11)
+            freshness.heard("p", storeVersion(11), storeVersion(11), now, 50.seconds)
+            freshness.heard("p", storeVersion(12), storeVersion(12), now, 60.seconds)
+            freshness.accept(storeVersion(11))
             assertEquals(60.seconds, overtakenSince())
-            freshness.accept(12)
+            freshness.accept(storeVersion(12))
             assertNull(overtakenSince())
             assertNull(freshness.behind)
         }
@@ -83,7 +84,7 @@
 
         @Test
         fun `that comes back with the peer counts from its first announcement`() {
-            freshness.heard("p", 11, 11, now, 50.seconds)
+            freshness.heard("p", storeVersion(11), storeVersion(11), now, 50.seconds)
             freshness.forget("p")
             heard("q", 11, now)
             assertEquals(50.seconds, overtakenSince())
@@ -95,7 +96,7 @@
         /** Guards against refusing all requests where no entry can read a version. */
         @Test
         fun `is known to be newer, but does not overtake this entry`() {
-            assertTrue(freshness.reject(11, now, "store"))
+            assertTrue(freshness.reject(storeVersion(11), now, "store"))
             heard("p", 11, now)
             assertTrue(freshness.age(now).newerKnown)
             assertTrue(freshness.unreadable)
@@ -104,15 +105,15 @@
 
         @Test
         fun `is counted once`() {
-            freshness.reject(11, now, "store")
-            assertFalse(freshness.reject(11, now, "p"))
+            freshness.reject(storeVersion(11), now, "store")
+            assertFalse(freshness.reject(storeVersion(11), now, "p"))
             assertEquals(1, freshness.unreadableCount)
         }
 
         /** Guards against all entries polling the store while a version that none can read is the newest. */
         @Test
         fun `at all entries does not end the confirmations`() {
-            freshness.reject(11, now, "store")
+            freshness.reject(storeVersion(11), now, "store")
             heard("p", 10, 99.seconds, received = 11)
             assertEquals(99.seconds, freshness.confirmedAt)
             assertTrue(freshness.age(now).newerKnown)
@@ -120,8 +121,8 @@
 
         @Test
         fun `is over with the next one that can`() {
-            freshness.reject(11, now, "store")
-            freshness.accept(12)
+            freshness.reject(storeVersion(11), now, "store")
+            freshness.accept(storeVersion(12))
             assertFalse(freshness.age(now).newerKnown)
             assertNull(freshness.behind)
         }
@@ -130,9 +131,17 @@
     /** Guards against memory that grows at an entry which can never catch up. */
     @Test
     fun `the number of announcements is bounded, and the earliest is kept`() {
-        for (version in 11L..1_000L) freshness.heard("p", version, version, now, version.seconds)
+        for (version in 11L..1_000L) {
+            freshness.heard(
+                "p",
+                storeVersion(version),
+                storeVersion(version),
+                now,
+                version.seconds,
+            )
+        }
         assertEquals(11.seconds, overtakenSince())
-        freshness.accept(999)
+        freshness.accept(storeVersion(999))
         assertEquals(74.seconds, overtakenSince())
     }
 }
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/store/StateReplicaSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/store/StateReplicaSpec.kt
@@ -12,7 +12,9 @@
 import io.poplarwood.gateway.route.CallerLimits
 import io.poplarwood.gateway.route.DesiredState
 import io.poplarwood.gateway.route.RouteTable
+import io.poplarwood.gateway.support.storeVersion
 import io.poplarwood.gateway.support.upstream
+import io.poplarwood.gateway.upstream.AvailabilityState
 import io.poplarwood.gateway.upstream.Upstream
 import io.poplarwood.gateway.upstream.UpstreamTable
 import kotlinx.collections.immutable.persistentMapOf
@@ -27,6 +29,7 @@
 import kotlin.test.assertNotNull
 import kotlin.test.assertNull
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 class StateReplicaSpec {
@@ -51,10 +54,11 @@
             }
     }
 
-    private fun row(key: String, value: String?, version: Long) = StoredRow(key, value?.encodeToByteArray(), version)
+    private fun row(key: String, value: String?, version: Long) =
+        StoredRow(key, value?.encodeToByteArray(), storeVersion(version))
 
     private fun state(value: String, version: Long) = runBlocking {
-        book.applyStateRows(RowSnapshot(listOf(row("c", value, version)), version), "s")
+        book.applyStateRows(RowSnapshot(listOf(row("c", value, version)), storeVersion(version)), "s")
     }
 
     @Nested
@@ -84,13 +88,13 @@
         private fun applyAll(
             version: Long,
             vararg rows: StoredRow,
-        ) = book.applyAllUpstreams(RowSnapshot(rows.toList(), version), "s")
+        ) = book.applyAllUpstreams(RowSnapshot(rows.toList(), storeVersion(version)), "s")
 
         /** Guards against an upstream that comes back because an older full read arrives late. */
         @Test
         fun `that were removed are not restored by an older full read`() {
             applyAll(10, row("a", "ready", 5), row("b", "ready", 6))
-            book.applyUpstreamChanges(RowSnapshot(listOf(row("a", null, 11)), 11), 10, "s")
+            book.applyUpstreamChanges(RowSnapshot(listOf(row("a", null, 11)), storeVersion(11)), storeVersion(10), "s")
             applyAll(10, row("a", "ready", 5), row("b", "ready", 6))
             assertNull(upstreams["a"])
             assertEquals(listOf("a"), unavailable)
@@ -100,22 +104,36 @@
         @Test
         fun `with a gap before them are applied at once, and the gap stays recorded`() {
             applyAll(10, row("a", "ready", 5), row("b", "ready", 6))
-            assertFalse(book.applyUpstreamChanges(RowSnapshot(listOf(row("a", "draining", 20)), 20), 15, "p"))
+            assertFalse(
+                book.applyUpstreamChanges(
+                    RowSnapshot(listOf(row("a", "draining", 20)), storeVersion(20)),
+                    storeVersion(15),
+                    "p",
+                ),
+            )
             assertEquals(true, upstreams["a"]?.record?.draining)
-            assertEquals(10, book.coveredVersion)
-            assertEquals(6, book.upstreamVersion)
+            assertEquals(storeVersion(10), book.coveredVersion)
+            assertEquals(storeVersion(6), book.upstreamVersion)
             applyAll(20, row("a", "draining", 20), row("b", "ready", 12))
-            assertEquals(20, book.coveredVersion)
+            assertEquals(storeVersion(20), book.coveredVersion)
         }
 
         /** Guards against a removed upstream that comes back because updates arrive out of order. */
         @Test
         fun `that were removed are not restored by late updates`() {
             applyAll(10, row("a", "ready", 5))
-            book.applyUpstreamChanges(RowSnapshot(listOf(row("a", null, 12)), 12), 10, "s")
-            book.applyUpstreamChanges(RowSnapshot(listOf(row("a", "ready", 11)), 11), 10, "p")
+            book.applyUpstreamChanges(RowSnapshot(listOf(row("a", null, 12)), storeVersion(12)), storeVersion(10), "s")
+            book.applyUpstreamChanges(
+                RowSnapshot(listOf(row("a", "ready", 11)), storeVersion(11)),
+                storeVersion(10),
+                "p",
+            )
             assertNull(upstreams["a"])
-            book.applyUpstreamChanges(RowSnapshot(listOf(row("a", "ready", 13)), 13), 12, "p")
+            book.applyUpstreamChanges(
+                RowSnapshot(listOf(row("a", "ready", 13)), storeVersion(13)),
+                storeVersion(12),
+                "p",
+            )
             assertNotNull(upstreams["a"])
         }
 
@@ -138,7 +156,7 @@
             applyAll(20)
             assertNotNull(upstreams["a"])
             now += 1.9.seconds
-            book.removeExpired()
+            book.checkExpiry()
             assertNull(upstreams["a"])
         }
 
@@ -151,7 +169,7 @@
             now += 1.seconds
             applyAll(21, row("a", "ready", 21))
             now += 2.seconds
-            book.removeExpired()
+            book.checkExpiry()
             assertNotNull(upstreams["a"])
         }
 
@@ -159,25 +177,134 @@
         @Test
         fun `that are newer than a whole read are not removed by it`() {
             applyAll(10, row("a", "ready", 5))
-            book.applyUpstreamChanges(RowSnapshot(listOf(row("b", "ready", 20)), 20), 15, "p")
+            book.applyUpstreamChanges(
+                RowSnapshot(listOf(row("b", "ready", 20)), storeVersion(20)),
+                storeVersion(15),
+                "p",
+            )
             applyAll(12, row("a", "ready", 5))
             assertNotNull(upstreams["b"])
         }
     }
 
+    @Nested
+    inner class `a store that came back from an older copy` {
+        private fun inEra(era: Long, key: String, value: String?, change: Long) =
+            StoredRow(key, value?.encodeToByteArray(), StoreVersion(era, change))
+
+        private fun applyAll(era: Long, change: Long, vararg rows: StoredRow) =
+            book.applyAllUpstreams(RowSnapshot(rows.toList(), StoreVersion(era, change)), "s")
+
+        private fun stateOf(era: Long, value: String, change: Long) = runBlocking {
+            val version = StoreVersion(era, change)
+            book.applyStateRows(RowSnapshot(listOf(inEra(era, "c", value, change)), version), "s")
+        }
+
+        /** Guards against changes that count as old because the store gives out their numbers again. */
+        @Test
+        fun `has changes that are newer although their numbers are lower`() {
+            stateOf(1, "5", 100)
+            stateOf(2, "4", 60)
+            assertEquals(5, book.state?.version)
+            stateOf(2, "6", 61)
+            assertEquals(6, book.state?.version)
+        }
+
+        /** Guards against an entry that counts as behind because peers have read the older desired state. */
+        @Test
+        fun `leaves an entry up to date whose peers have read an older desired state`() {
+            stateOf(1, "5", 100)
+            book.freshness.accept(StoreVersion(2, 60))
+            book.freshness.heard("p", StoreVersion(1, 100), StoreVersion(2, 60), now, now)
+            assertEquals(now, book.freshness.confirmedAt)
+            assertNull(book.freshness.behind)
+        }
+
+        /** Guards against requests to an upstream that had announced to leave. */
+        @Test
+        fun `does not make a draining upstream ready again`() {
+            applyAll(1, 100, inEra(1, "a", "ready", 5))
+            book.applyUpstreamChanges(
+                RowSnapshot(listOf(inEra(1, "a", "draining", 101)), StoreVersion(1, 101)),
+                StoreVersion(1, 100),
+                "s",
+            )
+            applyAll(2, 60, inEra(2, "a", "ready", 5))
+            assertEquals(AvailabilityState.LEAVING, upstreams["a"]?.availability?.state(now))
+        }
+
+        /** Guards against requests to an upstream that has left and came back with the copy. */
+        @Test
+        fun `does not use an upstream that was removed before its registration should have expired again`() {
+            applyAll(1, 100, inEra(1, "a", "ready", 5), inEra(1, "b", "ready", 6))
+            applyAll(1, 101, inEra(1, "b", "ready", 6))
+            applyAll(2, 60, inEra(2, "a", "ready", 5), inEra(2, "b", "ready", 6))
+            assertNull(upstreams["a"])
+            book.confirm(now + 5_499.milliseconds)
+            book.checkExpiry()
+            assertNull(upstreams["a"])
+            book.confirm(now + 5_500.milliseconds)
+            book.checkExpiry()
+            assertNotNull(upstreams["a"])
+        }
+
+        @Test
+        fun `uses an upstream that was removed and has registered again since`() {
+            applyAll(1, 100, inEra(1, "a", "ready", 5))
+            applyAll(1, 101)
+            applyAll(2, 60, inEra(2, "a", "ready", 5))
+            book.applyUpstreamChanges(
+                RowSnapshot(listOf(inEra(2, "a", "ready", 61)), StoreVersion(2, 61)),
+                StoreVersion(2, 60),
+                "s",
+            )
+            assertNotNull(upstreams["a"])
+        }
+
+        /** Guards against an answer of the lost era that arrives late and brings back what was lost. */
+        @Test
+        fun `is not changed by late news of the earlier era`() {
+            applyAll(1, 100, inEra(1, "a", "ready", 5))
+            applyAll(2, 60, inEra(2, "a", "ready", 5))
+            val late = RowSnapshot(listOf(inEra(1, "b", "ready", 101)), StoreVersion(1, 101))
+            book.applyUpstreamChanges(late, StoreVersion(1, 100), "p")
+            assertNull(upstreams["b"])
+            assertEquals(StoreVersion(2, 60), book.coveredVersion)
+        }
+
+        @Test
+        fun `is noticed once for each era`() {
+            var noticed = 0
+            book.onRestored = { noticed++ }
+            applyAll(1, 100, inEra(1, "a", "ready", 5))
+            assertEquals(0, noticed)
+            book.observe(StoreVersion(2, 60))
+            applyAll(2, 60, inEra(2, "a", "ready", 5))
+            assertEquals(1, noticed)
+            book.observe(StoreVersion(3, 50))
+            assertEquals(2, noticed)
+        }
+    }
+
     @Nested
     inner class `changes for a peer` {
         private fun applyAll(
             version: Long,
             vararg rows: StoredRow,
-        ) = book.applyAllUpstreams(RowSnapshot(rows.toList(), version), "s")
+        ) = book.applyAllUpstreams(RowSnapshot(rows.toList(), storeVersion(version)), "s")
 
         /** Guards against peers that receive every registration when one has changed. */
         @Test
         fun `are what changed or was removed since then`() {
             applyAll(10, row("a", "ready", 5), row("b", "ready", 6))
-            book.applyUpstreamChanges(RowSnapshot(listOf(row("a", null, 12), row("c", "ready", 13)), 13), 10, "s")
-            val changes = assertNotNull(book.upstreamChanges(10)).associate { it.key to (it.value != null) }
+            book.applyUpstreamChanges(
+                RowSnapshot(listOf(row("a", null, 12), row("c", "ready", 13)), storeVersion(13)),
+                storeVersion(10),
+                "s",
+            )
+            val changes = assertNotNull(book.upstreamChanges(storeVersion(10))).associate {
+                it.key to (it.value != null)
+            }
             assertEquals(mapOf("a" to false, "c" to true), changes)
         }
 
@@ -186,10 +313,16 @@
         fun `are unknown when removals of that time were forgotten`() {
             applyAll(10, row("a", "ready", 5))
             for (i in 1..2_001L) {
-                book.applyUpstreamChanges(RowSnapshot(listOf(row("x$i", null, 10 + i)), 10 + i), 9 + i, "s")
+                book.applyUpstreamChanges(
+                    RowSnapshot(listOf(row("x$i", null, 10 + i)), storeVersion(10 + i)),
+                    storeVersion(
+                        9 + i,
+                    ),
+                    "s",
+                )
             }
-            assertNull(book.upstreamChanges(10))
-            assertNotNull(book.upstreamChanges(11))
+            assertNull(book.upstreamChanges(storeVersion(10)))
+            assertNotNull(book.upstreamChanges(storeVersion(11)))
         }
 
         @Test
@@ -222,7 +355,7 @@
         }
 
         private fun applyAll(version: Long, vararg rows: StoredRow) =
-            book.applyAllUpstreams(RowSnapshot(rows.toList(), version), "s")
+            book.applyAllUpstreams(RowSnapshot(rows.toList(), storeVersion(version)), "s")
 
         /** Guards against a start that spends its time on log lines, one for each upstream. */
         @Test
@@ -238,14 +371,18 @@
             applyAll(10, row("a", "ready", 5), row("b", "ready", 6))
             lines.list.clear()
             applyAll(20, row("a", "draining", 12), row("b", "ready", 6), row("c", "ready", 13))
-            book.applyUpstreamChanges(RowSnapshot(listOf(row("d", "ready", 21), row("b", null, 22)), 22), 20, "p")
+            book.applyUpstreamChanges(
+                RowSnapshot(listOf(row("d", "ready", 21), row("b", null, 22)), storeVersion(22)),
+                storeVersion(20),
+                "p",
+            )
             assertEquals(listOf("PW-6301 a", "PW-6301 c", "PW-6301 d", "PW-6302 b"), events())
         }
 
         /** Guards against a first whole read without a line when changes from a peer arrive before it. */
         @Test
         fun `has the line for the first registrations also after an earlier change`() {
-            book.applyUpstreamChanges(RowSnapshot(listOf(row("a", "ready", 9)), 9), 8, "p")
+            book.applyUpstreamChanges(RowSnapshot(listOf(row("a", "ready", 9)), storeVersion(9)), storeVersion(8), "p")
             applyAll(10, row("a", "ready", 9), row("b", "ready", 6))
             assertEquals(listOf("PW-6301 a", "PW-6308 2"), events())
         }
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/support/Configurations.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/support/Configurations.kt
@@ -15,5 +15,5 @@
         RouteTable.of((1..routes).map { route("/$it/") }),
         CallerLimits(),
     ),
-    version * 10,
+    storeVersion(version * 10),
 )
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/support/Hellos.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/support/Hellos.kt
@@ -1,7 +1,9 @@
 package io.poplarwood.gateway.support
 
+import io.poplarwood.gateway.configuration.ConfigurationVersion
 import io.poplarwood.gateway.peer.PeerMessage
 import io.poplarwood.gateway.peer.PeerRecord
+import io.poplarwood.gateway.store.StoreVersion
 
 /** A heartbeat of an entry that started one minute ago and has version 1 of all rows of the store. */
 internal fun hello(
@@ -23,9 +25,9 @@
     serving = serving,
     stopping = stopping,
     storeAnswers = storeAnswers,
-    stateVersion = 1,
-    upstreamVersion = 1,
-    coveredVersion = 1,
+    stateVersion = ConfigurationVersion(1, StoreVersion(1, 1)),
+    upstreamVersion = StoreVersion(1, 1),
+    coveredVersion = StoreVersion(1, 1),
     confirmedMs = 0,
     upMs = upMs,
     requestsPerS = rate,
