Write rows of entries and crash records again after a restore

They were written once, at the start and at the refusal, so a store that came back older lost them for good: an entry that started later found nobody. Each entry writes its row again within a second, at a time of its own, and the records of requests that end upstreams; a second later it reads the rows, which finds entries that started meanwhile.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/CrashGossip.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/CrashGossip.kt
@@ -147,6 +147,10 @@
         if (becameRefused || isSecondEnd) recordOf(fingerprint)?.let(onRecorded)
     }
 
+    /** What entries that start have to know. */
+    fun records(): List<CrashSuspectUpdate> =
+        crashes.rowsToSync(ticker.now()).filterValues { it.recorded }.map { updateOf(it.key, it.value) }
+
     /** What entries that start have to know of requests with [fingerprint]; null when that is nothing. */
     private fun recordOf(fingerprint: Long): CrashSuspectUpdate? =
         crashes.rowsToSync(ticker.now())[fingerprint]?.let { updateOf(fingerprint, it) }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/CrashRecordStore.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/CrashRecordStore.kt
@@ -28,6 +28,9 @@
         scope.launch { withRetries { store.putEntryRow(keyOf(suspect.fingerprint), value) } }
     }
 
+    /** Writes all records again. */
+    fun saveAll() = gossip.records().forEach(::save)
+
     /** Removes the record of requests with [fingerprint] from the store; retries in the background. */
     fun delete(fingerprint: Long) {
         scope.launch { withRetries { store.deleteEntryRow(keyOf(fingerprint)) } }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/PeerServices.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/PeerServices.kt
@@ -8,6 +8,7 @@
 import io.poplarwood.gateway.peer.PeerSocket
 import io.poplarwood.gateway.settings.GatewaySettings
 import io.poplarwood.gateway.store.StateStore
+import kotlinx.coroutines.launch
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -80,11 +81,21 @@
     )
     private val crashRecords = CrashRecordStore(store, gossip.crashGossip, runtime.scope, runtime.log)
     val registration =
-        EntryRegistration(store, settings.entry, state.record, state.peers, ticker, crashRecords, runtime.log)
+        EntryRegistration(
+            store,
+            settings.entry,
+            state.record,
+            state.peers,
+            ticker,
+            runtime.random,
+            crashRecords,
+            runtime.log,
+        )
 
     init {
         gossip.loadGossip = loadGossip
         gossip.onPermitMessage = rateLimiting.exchange::receive
+        state.replica.onRestored = { runtime.scope.launch { registration.registerAgain() } }
         gossip.requestSync = stateExchange::scheduleSync
         gossip.crashGossip.onRecorded = crashRecords::save
         state.crashSuspects.onCleared = { fingerprint ->
