Send no second attempt while three equal requests are in flight

All entries are lost 1.9 s after three silent ends, before an attempt in flight counts as a loss; then three callers come at once, and each request is sent to two upstreams before anything is known again.

Equal requests in flight count now before a second attempt is sent, so the callers alone decide how many are.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/AttemptFeedback.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/AttemptFeedback.kt
@@ -31,6 +31,9 @@
     /** Whether a request with [fingerprint] may be sent. */
     fun crashVerdict(fingerprint: Long, now: Duration): CrashVerdict = crashes.verdict(fingerprint, now)
 
+    /** Whether a second attempt may be sent while a request with [fingerprint] is in flight. */
+    fun maySendSecond(fingerprint: Long): Boolean = crashes.maySendSecond(fingerprint)
+
     /** Records the result of [attempt], which belongs to a request with [fingerprint]. */
     fun record(attempt: Attempt, route: Route, fingerprint: Long) {
         val row = attempt.row
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/CrashDetector.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/CrashDetector.kt
@@ -60,6 +60,12 @@
         return if (maySend) CrashVerdict.ADMITTED else CrashVerdict.HELD
     }
 
+    /**
+     * Whether a second attempt may be sent while a request with [fingerprint] is in flight. With several equal requests
+     * in flight, second attempts would multiply the upstreams that such requests may end before anything is known.
+     */
+    fun maySendSecond(fingerprint: Long): Boolean = running.count(fingerprint) < CrashSuspects.LIMIT
+
     /** Records that [attempt] of a request with [fingerprint] is sent, whose caller waits until [deadline]. */
     fun attemptStarted(attempt: Attempt, fingerprint: Long, deadline: Duration) {
         val loss = CrashLoss(
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
@@ -199,6 +199,7 @@
     private fun CoroutineScope.considerSecondAttempt() {
         val firstAttempt = runningAttempts.singleOrNull() ?: return
         if (!route.kind.retryable || !mayRetry()) return
+        if (!handler.attemptFeedback.maySendSecond(request.fingerprint)) return
         val row = secondAttempts.select(firstAttempt, job, triedUpstreams, ticker.now()) ?: return
         handler.metrics.retryStarted(RetryReason.SLOW)
         startAttempt(row)
