Add a bench of entries whose store comes back older again and again

Five entries as processes; the store comes back from copies of different age while versions are written, upstreams announce that they leave, and entries are lost and cut off.

--- a/bench/src/main/kotlin/io/poplarwood/bench/Benches.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/Benches.kt
@@ -11,6 +11,7 @@
 import io.poplarwood.bench.live.DrainBench
 import io.poplarwood.bench.live.FaultsBench
 import io.poplarwood.bench.overhead.OverheadBench
+import io.poplarwood.bench.restores.RestoresBench
 import io.poplarwood.bench.routing.RoutingBench
 import io.poplarwood.bench.slopes.SlopesBench
 
@@ -24,6 +25,7 @@
         OverheadBench(),
         ConfigBench(),
         ConfigurationsBench(),
+        RestoresBench(),
         DrainBench(),
         FaultsBench(),
         DeepBench(),
--- a/bench/src/main/kotlin/io/poplarwood/bench/configurations/ConfigurationChanges.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/configurations/ConfigurationChanges.kt
@@ -33,6 +33,9 @@
         send(version, path(version, 0))
     }
 
+    /** Writes the newest version again, since the store has lost it. */
+    fun writeAgain() = write(newest.number, newest.service)
+
     /**
      * The version by which a request has to be handled that is sent at [sentNs]; null when a newer one was sent so
      * lately that either is right.
@@ -41,10 +44,13 @@
 
     private fun send(version: Int, newestRoute: String) {
         val service = if (version % 2 == 0) "s2" else "s1"
-        cell.putDesiredState(version, StandInCell.routeJson(OLD_ROUTE, service = service), *routes.toTypedArray())
+        write(version, service)
         sent += SentVersion(version, System.nanoTime(), "${newestRoute}x", service)
     }
 
+    private fun write(version: Int, service: String) =
+        cell.putDesiredState(version, StandInCell.routeJson(OLD_ROUTE, service = service), *routes.toTypedArray())
+
     private fun path(version: Int, number: Int) = "/v$version/some/longer/prefix/of/a/route/$number/"
 
     companion object {
