--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/CrashGossip.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/CrashGossip.kt
@@ -50,6 +50,19 @@
         send(PeerMessage.CrashUpdate(self, listOf(update)), addresses(if (loss.ended) table.live else table.active))
     }
 
+    /**
+     * Announces losses, with the fingerprint of each, of which it is not known whether the upstream has ended, to all
+     * entries that take callers.
+     */
+    fun announceOpenLosses(losses: List<Pair<Long, CrashLoss>>) {
+        val now = ticker.now()
+        for ((fingerprint, loss) in losses) logLoss(fingerprint, loss, self)
+        for (part in losses.chunked(MAX_LOSSES_PER_UPDATE)) {
+            val updates = part.map { CrashSuspectUpdate(it.first, listOf(updateOf(it.second, now))) }
+            send(PeerMessage.CrashUpdate(self, updates), addresses(table.active))
+        }
+    }
+
     /** Announces that the upstream of the loss [id], which was announced before, replied after all. */
     fun announceReplied(fingerprint: Long, id: Long) {
         val update = CrashSuspectUpdate(fingerprint, emptyList(), replied = listOf(id))
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/CrashDetector.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/CrashDetector.kt
@@ -41,6 +41,7 @@
     private val running = RunningAttempts()
     private val unannounced = ArrayDeque<Pair<Long, CrashLoss>>()
     private var watchedCount = 0
+    private var announcedAt = -Duration.INFINITE
 
     init {
         crashes.onDismissed = { fingerprint, loss, reason ->
@@ -133,7 +134,7 @@
         if (!silent.exposed && crashes.recordLoss(fingerprint, loss, now)) unannounced += fingerprint to loss
         if (lossesBefore == 0) return
         log.log(GatewayEvent.CRASH_EXPOSED, hex(fingerprint), row.id, "abandoned", lossesBefore)
-        announceDue { it.first == fingerprint }
+        gossip.announceOpenLosses(takeUnannounced { it.first == fingerprint })
         watch(row, fingerprint, loss)
     }
 
@@ -180,20 +181,20 @@
      */
     fun tick(registrationsConfirmedAt: Duration) {
         val now = ticker.now()
-        for (silent in running.newlySilent(now)) {
-            val isNew = crashes.recordLoss(silent.fingerprint, silent.loss, now)
-            if (isNew) announce(silent.fingerprint, silent.loss)
-        }
-        announceDue { now - it.second.sentAt > RunningAttempts.MAX_SILENCE }
         crashes.dismissRegistered(registrationsConfirmedAt, registrationExpiry)
+        if (now - announcedAt < ANNOUNCEMENT_INTERVAL) return
+        announcedAt = now
+        val silent = running.newlySilent(now).filter { crashes.recordLoss(it.fingerprint, it.loss, now) }
+        val given = takeUnannounced { now - it.second.sentAt > RunningAttempts.MAX_SILENCE }
+        gossip.announceOpenLosses(silent.map { it.fingerprint to it.loss } + given)
     }
 
-    /** Announces the losses that are [due] and still count. */
-    private fun announceDue(due: (Pair<Long, CrashLoss>) -> Boolean) {
-        if (unannounced.isEmpty()) return
-        val announced = unannounced.filter(due)
-        unannounced.removeAll(announced)
-        for ((fingerprint, loss) in announced) crashes.loss(fingerprint, loss.id)?.let { announce(fingerprint, it) }
+    /** Removes the losses that are [due] from those to be announced; returns those that still count. */
+    private fun takeUnannounced(due: (Pair<Long, CrashLoss>) -> Boolean): List<Pair<Long, CrashLoss>> {
+        if (unannounced.isEmpty()) return emptyList()
+        val taken = unannounced.filter(due)
+        unannounced.removeAll(taken.toSet())
+        return taken.mapNotNull { (fingerprint, loss) -> crashes.loss(fingerprint, loss.id)?.let { fingerprint to it } }
     }
 
     private fun announce(fingerprint: Long, loss: CrashLoss) = gossip.announceLoss(fingerprint, loss)
@@ -201,6 +202,12 @@
     private fun hex(fingerprint: Long) = java.lang.Long.toHexString(fingerprint)
 
     private companion object {
+        /**
+         * Losses of which nothing more is known are announced together. With [RunningAttempts.MAX_SILENCE], it stays
+         * below `stable-s` (3 s).
+         */
+        val ANNOUNCEMENT_INTERVAL = 500.milliseconds
+
         /** An upstream may run a request for this long after its caller has left or its time is over. */
         val ABANDONED_RUN_TIME = 2.seconds
 
