Don't count an upstream against a request while it answers others

What callers saw: equal requests at grey upstreams, and at ones that hang under them, were refused as crashing from the first second on, although the same upstreams answered other requests all the while.

Cause: an open loss could be dismissed only after its request could no longer be executing (2 s after it ended); until then no answer of its upstream counted. Now an upstream counts as running until 2 s after the request was sent to it, or after its last answer on a connection older than the attempt, a health check included. Losses travel as a type in place of pairs.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/CrashLoss.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/CrashLoss.kt
@@ -2,6 +2,7 @@
 
 import io.poplarwood.gateway.upstream.IncarnationId
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * An attempt of a request that has no answer, so that its upstream may have crashed while it executed the request.
@@ -14,6 +15,7 @@
  * @property fate what is known of [upstream]
  * @property endSeen whether [lostAt] is when the connection broke; otherwise [upstream] may have ended at any time
  * since [sentAt]
+ * @property provenAt when [upstream] was last shown to have been running since before [sentAt]
  * @property runsUntil until when [upstream] may execute the request
  */
 internal data class CrashLoss(
@@ -24,9 +26,31 @@
     val fate: UpstreamFate,
     val endSeen: Boolean = true,
     val runsUntil: Duration = lostAt,
+    val provenAt: Duration = -Duration.INFINITE,
 ) {
     val ended: Boolean get() = fate == UpstreamFate.ENDED
 
-    /** Whether this loss counts until it is known what became of the upstream. */
-    val counts: Boolean get() = fate != UpstreamFate.PRESUMED_RUNNING
+    /** Whether it may still turn out that [upstream] ended under the request. */
+    val open: Boolean get() = fate == UpstreamFate.UNKNOWN || fate == UpstreamFate.PRESUMED_RUNNING
+
+    /**
+     * Whether this loss counts against its request at [now]: an upstream whose fate is unknown may have ended unless it
+     * was shown to be running lately.
+     */
+    fun counts(now: Duration): Boolean = when (fate) {
+        UpstreamFate.ENDED -> true
+        UpstreamFate.PRESUMED_RUNNING, UpstreamFate.SURVIVED -> false
+        UpstreamFate.UNKNOWN -> now - runningAt > MAX_SILENCE
+    }
+
+    /** Until when [upstream] may be taken to have been running. */
+    private val runningAt: Duration get() = if (endSeen) provenAt else maxOf(provenAt, sentAt)
+
+    companion object {
+        /**
+         * An upstream that has been silent for longer may have ended, which every entry has to know `stable-s` (3 s)
+         * after the end.
+         */
+        val MAX_SILENCE: Duration = 2.seconds
+    }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/CrashRow.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/CrashRow.kt
@@ -25,9 +25,9 @@
     val recorded: Boolean get() = separateEnds { it.ended } >= SHARE_THRESHOLD
 
     /** Whether this row is kept synchronized between entries. */
-    val rowsToSync: Boolean get() = recorded || held
+    fun isSynchronized(now: Duration): Boolean = recorded || isHeld(now)
 
-    private val held: Boolean get() = separateEnds { it.counts } >= CrashSuspects.LIMIT
+    private fun isHeld(now: Duration) = separateEnds { it.counts(now) } >= CrashSuspects.LIMIT
 
     /**
      * Whether several upstreams ended at the same moment, so that it is open whether the request or something else
@@ -37,9 +37,9 @@
         get() = !refused && losses.values.filter { it.ended }.distinctBy { it.upstream }.size >= CrashSuspects.LIMIT
 
     /** Whether a request with this fingerprint may be sent. */
-    fun verdict(): CrashVerdict = when {
+    fun verdict(now: Duration): CrashVerdict = when {
         refused -> CrashVerdict.REFUSED
-        held -> CrashVerdict.HELD
+        isHeld(now) -> CrashVerdict.HELD
         else -> CrashVerdict.ADMITTED
     }
 
@@ -48,7 +48,7 @@
         now - seenAt > CrashSuspects.EXPIRY || (losses.isEmpty() && now - clearedAt > CLEARED_RETENTION)
 
     /** Digest of what other entries should know of this row. */
-    fun digest(): Long = if (refused) 1 else losses.values.filter { it.counts }.sumOf { it.id }
+    fun digest(now: Duration): Long = if (refused) 1 else losses.values.filter { it.counts(now) }.sumOf { it.id }
 
     /**
      * Number of upstreams that ended, or may have, one after the other, among the losses that [include] selects. One
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/CrashSuspects.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/CrashSuspects.kt
@@ -33,7 +33,11 @@
         row.seenAt = maxOf(row.seenAt, seenAt)
         if (loss.lostAt <= row.clearedAt) return false
         val known = row.losses[loss.id]
-        if (known != null && (known.ended || !loss.ended)) return false
+        if (known != null && !loss.ended) {
+            row.losses[loss.id] = known.copy(provenAt = maxOf(known.provenAt, loss.provenAt))
+            return false
+        }
+        if (known != null && known.ended) return false
         row.losses[loss.id] = if (ended.contains(loss)) loss.copy(fate = UpstreamFate.ENDED) else loss
         if (rows.size > MAX_FINGERPRINTS) evict()
         return true
@@ -50,21 +54,27 @@
         onDismissed(fingerprint, loss, "accepts connections")
     }
 
-    /** Removes the loss [id], because its attempt was answered after all. */
-    fun removeLoss(fingerprint: Long, id: Long): Boolean = rows[fingerprint]?.losses?.remove(id) != null
+    /**
+     * Records that the upstream of the loss [id] survived the request. The loss is kept for a while, since other
+     * entries may still report it.
+     */
+    fun survived(fingerprint: Long, id: Long) {
+        rows[fingerprint]?.losses?.computeIfPresent(id) { _, loss ->
+            if (loss.ended) loss else loss.copy(fate = UpstreamFate.SURVIVED)
+        }
+    }
 
     /**
-     * Records at [now] that the incarnation [upstream] has ended; returns the losses by fingerprint for which this is
-     * new.
+     * Records at [now] that the incarnation [upstream] has ended; returns the losses for which this is new.
      */
-    fun upstreamEnded(upstream: IncarnationId, now: Duration): List<Pair<Long, CrashLoss>> {
+    fun upstreamEnded(upstream: IncarnationId, now: Duration): List<RequestLoss> {
         ended.add(upstream, now)
-        val changed = ArrayList<Pair<Long, CrashLoss>>()
+        val changed = ArrayList<RequestLoss>()
         for ((fingerprint, row) in rows) {
-            for (loss in row.losses.values.filter { it.upstream == upstream && !it.ended && it.sentAt <= now }) {
+            for (loss in row.losses.values.filter { it.upstream == upstream && it.open && it.sentAt <= now }) {
                 val endedLoss = loss.copy(fate = UpstreamFate.ENDED)
                 row.losses[loss.id] = endedLoss
-                changed += fingerprint to endedLoss
+                changed += RequestLoss(fingerprint, endedLoss)
             }
         }
         return changed
@@ -72,12 +82,24 @@
 
     /**
      * Records that the incarnation [upstream] sent at [now] an answer on a connection opened at [openedAt]: it has run
-     * since then.
+     * since then. It has survived the requests that it can no longer be executing.
      */
-    fun upstreamAnswered(upstream: IncarnationId, openedAt: Duration, now: Duration) =
-        dismiss("answered on an older connection") {
-            it.upstream == upstream && openedAt <= it.sentAt && it.runsUntil <= now
+    fun upstreamAnswered(upstream: IncarnationId, openedAt: Duration, now: Duration) {
+        for ((fingerprint, row) in rows) {
+            val proven = row.losses.values.filter { it.upstream == upstream && it.open && openedAt <= it.sentAt }
+            for (loss in proven) {
+                val survived = loss.runsUntil <= now
+                val fate = if (survived) UpstreamFate.SURVIVED else loss.fate
+                row.losses[loss.id] = loss.copy(provenAt = now, fate = fate)
+                if (survived) onDismissed(fingerprint, loss, "answered on an older connection")
+            }
         }
+    }
+
+    /** Records that the upstream of the loss [id] may run its request until [runsUntil]. */
+    fun extendRun(fingerprint: Long, id: Long, runsUntil: Duration) {
+        rows[fingerprint]?.losses?.computeIfPresent(id) { _, loss -> loss.copy(runsUntil = runsUntil) }
+    }
 
     /**
      * Dismisses losses whose upstream would no longer be registered as that incarnation at [confirmedAt] if it had
@@ -100,7 +122,7 @@
 
     /** Whether losses wait for what becomes of [upstream]. */
     fun hasOpenLosses(upstream: IncarnationId): Boolean =
-        rows.values.any { row -> row.losses.values.any { it.upstream == upstream && !it.ended } }
+        rows.values.any { row -> row.losses.values.any { it.upstream == upstream && it.open } }
 
     /**
      * Records that a request with [fingerprint] was answered at [at]; returns the number of losses that this clears.
@@ -110,21 +132,25 @@
         val row = (if (rows.isEmpty()) null else rows[fingerprint]) ?: return 0
         val before = row.losses.size
         val recorded = row.recorded
-        if (row.rowsToSync || before > 1) row.clearedAt = maxOf(row.clearedAt, at)
+        if (row.isSynchronized(at) || before > 1) row.clearedAt = maxOf(row.clearedAt, at)
         row.losses.values.removeIf { it.lostAt <= at }
         if (!row.refused) row.refusalReported = false
         if (recorded && !row.recorded) onCleared(fingerprint)
         return before - row.losses.size
     }
 
-    /** Number of upstreams that ended, or may have, under requests with [fingerprint]. */
-    fun lossCount(fingerprint: Long): Int = rows[fingerprint]?.losses?.values?.count { it.counts } ?: 0
+    /** Number of upstreams that ended, or may have, under requests with [fingerprint], as is known at [now]. */
+    fun lossCount(fingerprint: Long, now: Duration): Int =
+        rows[fingerprint]?.losses?.values?.count { it.counts(now) } ?: 0
+
+    /** Whether upstreams ended, or may turn out to have ended, under requests with [fingerprint]. */
+    fun hasLosses(fingerprint: Long): Boolean = rows[fingerprint]?.losses?.values?.any { it.ended || it.open } ?: false
 
     /** Whether a request with [fingerprint] that arrived at [now] may be sent. */
     fun verdict(fingerprint: Long, now: Duration): CrashVerdict {
         expire(now)
         val row = rows[fingerprint] ?: return CrashVerdict.ADMITTED
-        val verdict = row.verdict()
+        val verdict = row.verdict(now)
         if (verdict == CrashVerdict.REFUSED) row.seenAt = maxOf(row.seenAt, now)
         return verdict
     }
@@ -149,14 +175,14 @@
     /** Rows to synchronize between entries, by fingerprint. Single losses are announced once and not synchronized. */
     fun rowsToSync(now: Duration): Map<Long, CrashRow> {
         expire(now)
-        return rows.filterValues { it.rowsToSync || it.clearedAt > -Duration.INFINITE }
+        return rows.filterValues { it.isSynchronized(now) || it.clearedAt > -Duration.INFINITE }
     }
 
     /** Digest that is equal at entries with the same state; 0 when there are no rows to synchronize. */
     fun digest(now: Duration): Long {
         expire(now)
         var sum = 0L
-        for ((fingerprint, row) in rows) if (row.rowsToSync) sum += fingerprint * row.digest()
+        for ((fingerprint, row) in rows) if (row.isSynchronized(now)) sum += fingerprint * row.digest(now)
         return sum
     }
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/RunningAttempts.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/RunningAttempts.kt
@@ -1,16 +1,19 @@
 package io.poplarwood.gateway.decision.crash
 
+import io.poplarwood.gateway.upstream.IncarnationId
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
 
-/** The attempts of this entry that are in flight, by the fingerprint of their request, oldest first. */
+/** The attempts of this entry that are in flight, oldest first. */
 internal class RunningAttempts {
     /**
      * @property loss the attempt as a loss, in case that it turns out to be one
      * @property exposed whether [loss] has been recorded
      */
-    class Running(val fingerprint: Long, val loss: CrashLoss) {
+    class Running(val fingerprint: Long, loss: CrashLoss) {
+        var loss: CrashLoss = loss
+            internal set
         var exposed: Boolean = false
+            internal set
     }
 
     private val running = LinkedHashMap<Long, Running>()
@@ -31,19 +34,23 @@
     /** Number of attempts in flight of requests with [fingerprint]. */
     fun count(fingerprint: Long): Int = countByFingerprint[fingerprint] ?: 0
 
-    /** The attempts that have become silent for [MAX_SILENCE] at [now] since the last call. */
+    /**
+     * Records that the incarnation [upstream] sent at [now] an answer on a connection opened at [openedAt]: it has run
+     * since then.
+     */
+    fun upstreamAnswered(upstream: IncarnationId, openedAt: Duration, now: Duration) {
+        for (attempt in running.values) {
+            val loss = attempt.loss
+            if (loss.upstream == upstream && openedAt <= loss.sentAt) attempt.loss = loss.copy(provenAt = now)
+        }
+    }
+
+    /** The attempts whose upstream has become silent for [CrashLoss.MAX_SILENCE] at [now], each once. */
     fun newlySilent(now: Duration): List<Running> {
         if (running.isEmpty()) return emptyList()
-        val silent = running.values.takeWhile { now - it.loss.sentAt > MAX_SILENCE }.filter { !it.exposed }
+        val silent = running.values.takeWhile { now - it.loss.sentAt > CrashLoss.MAX_SILENCE }
+            .filter { !it.exposed && it.loss.counts(now) }
         silent.forEach { it.exposed = true }
         return silent
     }
-
-    companion object {
-        /**
-         * An attempt that is in flight for longer counts as a loss: its upstream may have ended silently, which every
-         * entry has to know `stable-s` (3 s) after the end.
-         */
-        val MAX_SILENCE: Duration = 2.seconds
-    }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/UpstreamFate.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/UpstreamFate.kt
@@ -8,6 +8,9 @@
     /** The upstream accepts new connections. It may have started again meanwhile. */
     PRESUMED_RUNNING,
 
+    /** The upstream was running when it could no longer be executing the request, or answered it. */
+    SURVIVED,
+
     /** The upstream has ended. */
     ENDED,
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/EntryHttpClient.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/EntryHttpClient.kt
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import io.poplarwood.api.time.Ticker
 import kotlinx.coroutines.CancellableContinuation
 import kotlinx.coroutines.async
 import kotlinx.coroutines.cancelChildren
@@ -35,7 +36,7 @@
  * HTTP client for the entry's own calls: to the store, to peers and to the health checks of upstreams. Keeps idle
  * connections for reuse. Must be used from one event loop only.
  */
-class EntryHttpClient(group: EventLoopGroup) {
+class EntryHttpClient(group: EventLoopGroup, private val ticker: Ticker) {
     private val idle = HashMap<String, ArrayDeque<ClientConnection>>()
     private val bootstrap = Bootstrap().group(group).channel(NioSocketChannel::class.java)
         .option(ChannelOption.TCP_NODELAY, true)
@@ -127,7 +128,7 @@
         suspendCancellableCoroutine { connect(address, it) }
 
     private fun connect(address: String, continuation: CancellableContinuation<ClientConnection?>) {
-        val connection = ClientConnection()
+        val connection = ClientConnection(ticker)
         val initializer = object : ChannelInitializer<Channel>() {
             override fun initChannel(channel: Channel) {
                 channel.pipeline().addLast(HttpClientCodec(), connection)
@@ -138,11 +139,12 @@
         future.addListener { if (continuation.isActive) continuation.resume(connection.takeIf { _ -> it.isSuccess }) }
     }
 
-    private class ClientConnection : SimpleChannelInboundHandler<HttpObject>() {
+    private class ClientConnection(private val ticker: Ticker) : SimpleChannelInboundHandler<HttpObject>() {
         private var channel: Channel? = null
         private var collector: ReplyCollector? = null
         private var pendingReply: ((HttpReply?) -> Unit)? = null
         private var keepAlive = true
+        private var openedAt = Duration.INFINITE
 
         val open: Boolean get() = keepAlive && channel?.isActive ?: false
 
@@ -160,6 +162,7 @@
 
         override fun channelActive(ctx: ChannelHandlerContext) {
             channel = ctx.channel()
+            openedAt = ticker.now()
         }
 
         override fun channelRead0(ctx: ChannelHandlerContext, msg: HttpObject) {
@@ -168,7 +171,7 @@
             if (msg is LastHttpContent) {
                 if (!keepAlive) ctx.close()
                 collector = null
-                complete(reply.reply())
+                complete(reply.reply(openedAt))
             }
         }
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/ReplyCollector.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/ReplyCollector.kt
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpResponse
 import kotlinx.coroutines.Job
+import kotlin.time.Duration
 
 /**
  * Collects one reply as it arrives.
@@ -49,8 +50,9 @@
         return true
     }
 
-    /** The reply, once the last piece was added; null without a head. */
-    fun reply(): HttpReply? = head?.let { HttpReply(it.status().code(), joined(), it.headers()) }
+    /** The reply on a connection opened at [connectedAt], once the last piece was added; null without a head. */
+    fun reply(connectedAt: Duration): HttpReply? =
+        head?.let { HttpReply(it.status().code(), joined(), it.headers(), connectedAt) }
 
     private fun joined(): ByteArray {
         val body = ByteArray(size)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/CrashGossip.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/CrashGossip.kt
@@ -5,6 +5,7 @@
 import io.poplarwood.gateway.decision.crash.CrashRow
 import io.poplarwood.gateway.decision.crash.CrashSuspects
 import io.poplarwood.gateway.decision.crash.CrashVerdict
+import io.poplarwood.gateway.decision.crash.RequestLoss
 import io.poplarwood.gateway.decision.crash.UpstreamFate
 import io.poplarwood.gateway.log.EventLog
 import io.poplarwood.gateway.log.GatewayEvent
@@ -51,22 +52,22 @@
     }
 
     /**
-     * Announces losses, with the fingerprint of each, of which it is not known whether the upstream has ended, to all
-     * entries that take callers.
+     * Announces [losses], of which it is not known whether the upstream has ended, to all entries that take callers.
      */
-    fun announceOpenLosses(losses: List<Pair<Long, CrashLoss>>) {
+    fun announceOpenLosses(losses: List<RequestLoss>) {
         val now = ticker.now()
-        for ((fingerprint, loss) in losses) logLoss(fingerprint, loss, self)
-        for (part in losses.chunked(MAX_LOSSES_PER_UPDATE)) {
-            val updates = part.map { CrashSuspectUpdate(it.first, listOf(updateOf(it.second, now))) }
-            send(PeerMessage.CrashUpdate(self, updates), addresses(table.active))
-        }
+        for (lost in losses) if (lost.loss.counts(now)) logLoss(lost.fingerprint, lost.loss, self)
+        sendToActive(losses.map { CrashSuspectUpdate(it.fingerprint, listOf(updateOf(it.loss, now))) })
     }
 
-    /** Announces that the upstream of the loss [id], which was announced before, replied after all. */
-    fun announceReplied(fingerprint: Long, id: Long) {
-        val update = CrashSuspectUpdate(fingerprint, emptyList(), replied = listOf(id))
-        send(PeerMessage.CrashUpdate(self, listOf(update)), addresses(table.active))
+    /** Announces that the upstreams of [losses], which were announced before, have survived the request. */
+    fun announceSurvived(losses: List<RequestLoss>) =
+        sendToActive(losses.map { CrashSuspectUpdate(it.fingerprint, emptyList(), survived = listOf(it.loss.id)) })
+
+    private fun sendToActive(updates: List<CrashSuspectUpdate>) {
+        for (part in updates.chunked(MAX_LOSSES_PER_UPDATE)) {
+            send(PeerMessage.CrashUpdate(self, part), addresses(table.active))
+        }
     }
 
     private fun addresses(peers: List<PeerStatus>) = peers.map { it.record.peers }
@@ -111,7 +112,7 @@
     fun merge(suspect: CrashSuspectUpdate, from: String) {
         val now = ticker.now()
         suspect.clearedMs?.let { crashes.recordAnswer(suspect.fingerprint, now - it.milliseconds) }
-        suspect.replied.forEach { crashes.removeLoss(suspect.fingerprint, it) }
+        suspect.survived.forEach { crashes.survived(suspect.fingerprint, it) }
         for (lossUpdate in suspect.losses) {
             val loss = toLoss(lossUpdate, now)
             val isNew = crashes.recordLoss(suspect.fingerprint, loss, now - suspect.seenMs.milliseconds)
@@ -120,7 +121,7 @@
     }
 
     private fun updateOf(fingerprint: Long, row: CrashRow, now: Duration = ticker.now()): CrashSuspectUpdate {
-        val losses = row.losses.values.filter { it.counts }.sortedByDescending { it.ended }
+        val losses = row.losses.values.filter { it.counts(now) }.sortedByDescending { it.ended }
             .take(MAX_LOSSES_PER_UPDATE).map { updateOf(it, now) }
         val cleared = if (row.clearedAt.isInfinite()) null else (now - row.clearedAt).inWholeMilliseconds
         return CrashSuspectUpdate(fingerprint, losses, (now - row.seenAt).inWholeMilliseconds, cleared)
@@ -135,6 +136,7 @@
         loss.upstream.startMs,
         loss.endSeen,
         (loss.runsUntil - now).inWholeMilliseconds,
+        loss.provenAt.takeIf { it.isFinite() }?.let { (now - it).inWholeMilliseconds },
     )
 
     private fun toLoss(update: CrashLossUpdate, now: Duration) = CrashLoss(
@@ -145,11 +147,12 @@
         if (update.confirmed) UpstreamFate.ENDED else UpstreamFate.UNKNOWN,
         update.endSeen,
         now + update.runsForMs.milliseconds,
+        update.provenMs?.let { now - it.milliseconds } ?: -Duration.INFINITE,
     )
 
     private fun logLoss(fingerprint: Long, loss: CrashLoss, source: String) {
         val hex = java.lang.Long.toHexString(fingerprint)
-        val losses = crashes.lossCount(fingerprint)
+        val losses = crashes.lossCount(fingerprint, ticker.now())
         if (loss.ended || losses > 1) {
             log.log(GatewayEvent.CRASH_SUSPECT, hex, loss.upstream.id, loss.ended, losses, source)
         }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/CrashSuspectUpdate.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/CrashSuspectUpdate.kt
@@ -9,7 +9,7 @@
  * @property losses upstreams that ended, or may have ended, while they ran such a request
  * @property seenMs time since such a request last arrived, in milliseconds
  * @property clearedMs time since a successful reply cleared earlier losses, in milliseconds; null when none did
- * @property replied ids of losses whose upstream replied after all
+ * @property survived ids of losses whose upstream has survived the request
  */
 @Serializable
 internal data class CrashSuspectUpdate(
@@ -17,7 +17,7 @@
     @SerialName("l") val losses: List<CrashLossUpdate>,
     @SerialName("n") val seenMs: Long = 0,
     @SerialName("x") val clearedMs: Long? = null,
-    @SerialName("d") val replied: List<Long> = emptyList(),
+    @SerialName("d") val survived: List<Long> = emptyList(),
 )
 
 /**
@@ -29,6 +29,7 @@
  * @property confirmed whether [upstream] is known to have ended
  * @property startMs start of the incarnation of [upstream] in milliseconds since the epoch, 0 when unknown
  * @property endSeen whether the connection to [upstream] broke when the request lost it
+ * @property provenMs time since [upstream] was shown to be running, in milliseconds; null when it was not
  * @property runsForMs time for which [upstream] may still execute the request, in milliseconds
  */
 @Serializable
@@ -41,4 +42,5 @@
     @SerialName("b") val startMs: Long = 0,
     @SerialName("e") val endSeen: Boolean = true,
     @SerialName("r") val runsForMs: Long = 0,
+    @SerialName("p") val provenMs: Long? = null,
 )
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/CrashDetector.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/CrashDetector.kt
@@ -5,6 +5,8 @@
 import io.poplarwood.gateway.decision.crash.CrashLoss
 import io.poplarwood.gateway.decision.crash.CrashSuspects
 import io.poplarwood.gateway.decision.crash.CrashVerdict
+import io.poplarwood.gateway.decision.crash.OwnLosses
+import io.poplarwood.gateway.decision.crash.RequestLoss
 import io.poplarwood.gateway.decision.crash.RunningAttempts
 import io.poplarwood.gateway.decision.crash.UpstreamFate
 import io.poplarwood.gateway.log.EventLog
@@ -23,8 +25,9 @@
  * Records each attempt that may have ended its upstream, and what becomes of the upstream, and tells other entries.
  *
  * An attempt counts as a loss when its connection breaks, when its request ends before an answer, or when it lasts for
- * [RunningAttempts.MAX_SILENCE]. The loss is dismissed when its upstream answers on a connection that is older than the
- * attempt, or when the registration of the upstream should have expired and has not.
+ * [CrashLoss.MAX_SILENCE]. It does not count while its upstream answers on a connection that is older than the attempt,
+ * and is dismissed when it can no longer be running, or when the registration of the upstream should have expired and
+ * has not.
  *
  * @param registrationExpiry time after which the registration of an upstream that has ended is gone
  */
@@ -39,14 +42,14 @@
     private val registrationExpiry: Duration,
 ) {
     private val running = RunningAttempts()
-    private val unannounced = ArrayDeque<Pair<Long, CrashLoss>>()
+    private val own = OwnLosses(crashes)
     private var watchedCount = 0
     private var announcedAt = -Duration.INFINITE
 
     init {
         crashes.onDismissed = { fingerprint, loss, reason ->
             val hex = java.lang.Long.toHexString(fingerprint)
-            if (loss.counts) log.log(GatewayEvent.CRASH_DISMISSED, hex, loss.upstream.id, reason)
+            if (loss.fate == UpstreamFate.UNKNOWN) log.log(GatewayEvent.CRASH_DISMISSED, hex, loss.upstream.id, reason)
         }
     }
 
@@ -73,7 +76,7 @@
             random.nextLong(),
             attempt.row.incarnation,
             attempt.sentAt,
-            attempt.sentAt + RunningAttempts.MAX_SILENCE,
+            attempt.sentAt + CrashLoss.MAX_SILENCE,
             UpstreamFate.UNKNOWN,
             endSeen = false,
             runsUntil = deadline,
@@ -86,15 +89,19 @@
     fun attemptReplied(attempt: Attempt, now: Duration) {
         attemptNotNeeded(attempt)
         val openedAt = attempt.connectedAt ?: return
-        crashes.upstreamAnswered(attempt.row.incarnation, openedAt, now)
+        upstreamAnswered(attempt.row, openedAt, now)
+    }
+
+    /** Records that [row] sent at [now] an answer on a connection opened at [openedAt]. */
+    fun upstreamAnswered(row: UpstreamRow, openedAt: Duration, now: Duration) {
+        running.upstreamAnswered(row.incarnation, openedAt, now)
+        crashes.upstreamAnswered(row.incarnation, openedAt, now)
     }
 
     /** Records that the request of [attempt] was answered. */
     fun attemptNotNeeded(attempt: Attempt) {
         val silent = running.remove(attempt.lossId)?.takeIf { it.exposed } ?: return
-        if (crashes.removeLoss(silent.fingerprint, silent.loss.id)) {
-            gossip.announceReplied(silent.fingerprint, silent.loss.id)
-        }
+        crashes.survived(silent.fingerprint, silent.loss.id)
     }
 
     /** Records that [attempt] of a request with [fingerprint] lost its connection at [now]. */
@@ -102,16 +109,17 @@
         val loss = running.remove(attempt.lossId)?.loss ?: return
         val row = attempt.row
         if (row.availability.state(now) == AvailabilityState.LEAVING) return
-        val lost = loss.copy(lostAt = now, endSeen = true, runsUntil = now)
-        val firstLoss = crashes.lossCount(fingerprint) == 0
+        val lost = loss.copy(lostAt = now, endSeen = true, runsUntil = now, provenAt = -Duration.INFINITE)
+        val firstLoss = crashes.lossCount(fingerprint, now) == 0
         crashes.recordLoss(fingerprint, lost, now)
         // Most connections break for other reasons, so a first loss is announced only if its upstream is not running.
+        own.add(fingerprint, lost, announced = !firstLoss)
         if (!firstLoss) announce(fingerprint, lost)
         scope.launch {
             when (livenessCheck.check(row)) {
                 Liveness.ACCEPTING -> crashes.presumeRunning(fingerprint, lost.id)
                 Liveness.ENDED -> upstreamEnded(row)
-                Liveness.SILENT -> if (firstLoss) announce(fingerprint, lost)
+                Liveness.SILENT -> announceDue { it.fingerprint == fingerprint }
             }
         }
     }
@@ -129,12 +137,16 @@
     fun requestAbandoned(attempt: Attempt, fingerprint: Long, now: Duration) {
         val silent = running.remove(attempt.lossId) ?: return
         val row = attempt.row
-        val lossesBefore = crashes.lossCount(fingerprint)
+        val again = crashes.hasLosses(fingerprint)
         val loss = silent.loss.copy(lostAt = now, runsUntil = maxOf(silent.loss.runsUntil, now + ABANDONED_RUN_TIME))
-        if (!silent.exposed && crashes.recordLoss(fingerprint, loss, now)) unannounced += fingerprint to loss
-        if (lossesBefore == 0) return
-        log.log(GatewayEvent.CRASH_EXPOSED, hex(fingerprint), row.id, "abandoned", lossesBefore)
-        gossip.announceOpenLosses(takeUnannounced { it.first == fingerprint })
+        if (silent.exposed) {
+            crashes.extendRun(fingerprint, loss.id, loss.runsUntil)
+        } else if (crashes.recordLoss(fingerprint, loss, now)) {
+            own.add(fingerprint, loss)
+        }
+        if (!again) return
+        log.log(GatewayEvent.CRASH_EXPOSED, hex(fingerprint), row.id, "abandoned", crashes.lossCount(fingerprint, now))
+        announceDue { it.fingerprint == fingerprint }
         watch(row, fingerprint, loss)
     }
 
@@ -171,7 +183,7 @@
     fun upstreamEnded(row: UpstreamRow) {
         val now = ticker.now()
         if (row.availability.state(now) == AvailabilityState.LEAVING) return
-        for ((fingerprint, loss) in crashes.upstreamEnded(row.incarnation, now)) announce(fingerprint, loss)
+        for (lost in crashes.upstreamEnded(row.incarnation, now)) announce(lost.fingerprint, lost.loss)
     }
 
     /**
@@ -184,18 +196,18 @@
         crashes.dismissRegistered(registrationsConfirmedAt, registrationExpiry)
         if (now - announcedAt < ANNOUNCEMENT_INTERVAL) return
         announcedAt = now
-        val silent = running.newlySilent(now).filter { crashes.recordLoss(it.fingerprint, it.loss, now) }
-        val given = takeUnannounced { now - it.second.sentAt > RunningAttempts.MAX_SILENCE }
-        gossip.announceOpenLosses(silent.map { it.fingerprint to it.loss } + given)
+        for (silent in running.newlySilent(now)) {
+            val isNew = crashes.recordLoss(silent.fingerprint, silent.loss, now)
+            if (isNew) own.add(silent.fingerprint, silent.loss)
+        }
+        gossip.announceSurvived(own.removeClosed())
+        announceDue { now - it.loss.sentAt > CrashLoss.MAX_SILENCE }
+        gossip.announceOpenLosses(own.takeProven())
     }
 
-    /** Removes the losses that are [due] from those to be announced; returns those that still count. */
-    private fun takeUnannounced(due: (Pair<Long, CrashLoss>) -> Boolean): List<Pair<Long, CrashLoss>> {
-        if (unannounced.isEmpty()) return emptyList()
-        val taken = unannounced.filter(due)
-        unannounced.removeAll(taken.toSet())
-        return taken.mapNotNull { (fingerprint, loss) -> crashes.loss(fingerprint, loss.id)?.let { fingerprint to it } }
-    }
+    /** Announces the losses of this entry that count, are [due] and have not been announced. */
+    private fun announceDue(due: (RequestLoss) -> Boolean) =
+        gossip.announceOpenLosses(own.takeUnannounced(ticker.now(), due))
 
     private fun announce(fingerprint: Long, loss: CrashLoss) = gossip.announceLoss(fingerprint, loss)
 
@@ -203,7 +215,7 @@
 
     private companion object {
         /**
-         * Losses of which nothing more is known are announced together. With [RunningAttempts.MAX_SILENCE], it stays
+         * Losses of which nothing more is known are announced together. With [CrashLoss.MAX_SILENCE], it stays
          * below `stable-s` (3 s).
          */
         val ANNOUNCEMENT_INTERVAL = 500.milliseconds
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -36,7 +36,7 @@
     private var bounds = settings.bounds
     private val runtime = ProcessRuntime(ticker, random)
     private val log = runtime.log
-    private val httpClient = EntryHttpClient(runtime.eventLoopGroup)
+    private val httpClient = EntryHttpClient(runtime.eventLoopGroup, ticker)
     private val store = adapter.createStore(httpClient, settings.store, runtime.background)
     private val state: EntryState = EntryState(
         settings,
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/LoadProber.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/LoadProber.kt
@@ -28,6 +28,7 @@
     private val headerNames: HeaderNames,
     private val metrics: GatewayMetrics,
     private val availability: AvailabilityTracker,
+    private val crashes: CrashDetector,
     private val ticker: Ticker,
 ) {
     /** Starts probes of the upstreams that this entry has to probe and that are due. */
@@ -52,6 +53,7 @@
         row.probeDuration += (now - sentAt - row.probeDuration) * PROBE_TIME_SMOOTHING
         // Another upstream may run at this address by now.
         if (reply == null || reply.headers[headerNames.upstreamId] != row.id || row.record.service != service) return
+        crashes.upstreamAnswered(row, reply.connectedAt, now)
         val notice = headerNames.parseNotice(reply.status, reply.headers)
         availability.applyNotice(row, notice, sentAt, now, endsLimit = false)
         LoadReport.parse(reply.headers[headerNames.load])?.slowness?.let { loadBoard.recordSlowness(row, it, now) }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestPath.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestPath.kt
@@ -56,18 +56,6 @@
         BodyMemoryBudget(bodyMemoryBytes),
         runtime.metrics::connectionOpened,
     )
-    val loadProber = LoadProber(
-        state.upstreams,
-        ProbeSelector { bounds().probesPerS },
-        ProbeAssignment(settings.entry, Zone(settings.zone), state.peers, state.activeEntries),
-        state.replica,
-        peers.loadGossip,
-        httpClient,
-        adapter.headerNames,
-        runtime.metrics,
-        state.availability,
-        ticker,
-    )
     private val livenessCheck =
         LivenessCheck(upstreamConnections::tryConnect, state.upstreams, ticker, runtime.scope)
     val crashDetector = CrashDetector(
@@ -80,6 +68,19 @@
         runtime.log,
         settings.store.registrationExpiry,
     )
+    val loadProber = LoadProber(
+        state.upstreams,
+        ProbeSelector { bounds().probesPerS },
+        ProbeAssignment(settings.entry, Zone(settings.zone), state.peers, state.activeEntries),
+        state.replica,
+        peers.loadGossip,
+        httpClient,
+        adapter.headerNames,
+        runtime.metrics,
+        state.availability,
+        crashDetector,
+        ticker,
+    )
     val requestHandler = RequestHandler(
         state.replica,
         decisions,
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
@@ -219,7 +219,7 @@
         val attempt = Attempt(
             row,
             now,
-            Attempt.describeKnownState(row, now, decisions.crashSuspects.lossCount(request.fingerprint)),
+            Attempt.describeKnownState(row, now, decisions.crashSuspects.lossCount(request.fingerprint, now)),
         )
         report.attempts += attempt
         runningAttempts += attempt
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/decision/crash/CrashSuspectsSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/decision/crash/CrashSuspectsSpec.kt
@@ -127,7 +127,7 @@
             lost(1, 1.seconds, UpstreamFate.UNKNOWN)
             suspects.recordAnswer(7, 1_010.milliseconds)
             assertEquals(emptyList(), suspects.upstreamEnded(upstream(1), 1_100.milliseconds))
-            assertEquals(0, suspects.lossCount(7))
+            assertEquals(0, suspects.lossCount(7, 1_100.milliseconds))
         }
 
         /** Guards against refusing a common request because a rack of upstreams failed. */
@@ -169,10 +169,33 @@
         @Test
         fun `is admitted again by an answer on a connection that is older than the attempt only`() {
             for (i in 1..3) lost(i, 1.seconds, UpstreamFate.UNKNOWN, since = 500.milliseconds, endSeen = false)
-            suspects.upstreamAnswered(upstream(2), openedAt = 501.milliseconds, now = 2.seconds)
-            assertEquals(CrashVerdict.HELD, suspects.verdict(7, 2.seconds))
-            suspects.upstreamAnswered(upstream(2), openedAt = 500.milliseconds, now = 2.seconds)
-            assertEquals(CrashVerdict.ADMITTED, suspects.verdict(7, 2.seconds))
+            suspects.upstreamAnswered(upstream(2), openedAt = 501.milliseconds, now = 3.seconds)
+            assertEquals(CrashVerdict.HELD, suspects.verdict(7, 3.seconds))
+            suspects.upstreamAnswered(upstream(2), openedAt = 500.milliseconds, now = 3.seconds)
+            assertEquals(CrashVerdict.ADMITTED, suspects.verdict(7, 3.seconds))
+        }
+
+        /** Guards against an upstream that ends silently after it has answered others. */
+        @Test
+        fun `is held again when an upstream that may run it has become silent since its answer`() {
+            for (i in 1..3) {
+                suspects.recordLoss(
+                    7,
+                    CrashLoss(
+                        i.toLong(),
+                        upstream(i),
+                        500.milliseconds,
+                        1.seconds,
+                        UpstreamFate.UNKNOWN,
+                        endSeen = false,
+                        runsUntil = 9.seconds,
+                    ),
+                    1.seconds,
+                )
+            }
+            suspects.upstreamAnswered(upstream(2), openedAt = 100.milliseconds, now = 3.seconds)
+            assertEquals(CrashVerdict.ADMITTED, suspects.verdict(7, 5.seconds))
+            assertEquals(CrashVerdict.HELD, suspects.verdict(7, 5_001.milliseconds))
         }
     }
 }
