Compare when an upstream was proven to run without subtracting infinities

Cause: while nothing shows that an upstream runs, the time of the proof is minus infinity on both sides, and the difference of the two throws.

Evidence: OwnLossesSpec failed with that exception in two of three cases before.

Class: an infinity that stands for never, used in a subtraction with another one. The other 40 uses of an infinite time in api, fleet, gateway and peer were read: each is compared, or subtracted from a finite time.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/OwnLosses.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/OwnLosses.kt
@@ -23,7 +23,9 @@
 
     /** The announced losses whose upstream has been shown to be running since other entries heard of it. */
     fun takeProven(): List<RequestLoss> = select { own, lost ->
-        val proven = own.announced && lost.loss.provenAt - own.announcedProof >= PROOF_INTERVAL
+        // While nothing is proven, both times are infinite and have no difference.
+        val isNew = lost.loss.provenAt > own.announcedProof
+        val proven = own.announced && isNew && lost.loss.provenAt - own.announcedProof >= PROOF_INTERVAL
         if (proven) own.announcedProof = lost.loss.provenAt
         proven
     }
