--- a/bench/src/main/kotlin/io/poplarwood/bench/configurations/ConfigurationsBench.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/configurations/ConfigurationsBench.kt
@@ -109,6 +109,7 @@
             BenchCheck(ANNOUNCEMENT_CHECK, all.notFoundUntilMs, ANNOUNCEMENT_MS),
             BenchCheck("404 for a route that the entry served before", all.notFoundAgainCount.toDouble(), 0.0),
             BenchCheck("handled by an older version after the bound", all.outdatedCount.toDouble(), 0.0),
+            BenchCheck("errors logged by entries", entries.sumOf { it.errorLines }.toDouble(), 0.0),
             BenchCheck(
                 "largest memory of all entries together, MB",
                 entries.sumOf {
--- a/bench/src/main/kotlin/io/poplarwood/bench/configurations/EntryVm.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/configurations/EntryVm.kt
@@ -16,7 +16,7 @@
     val shape: VmShape,
     cell: StandInCell,
     private val shares: ProcessorShare,
-    private val directory: Path,
+    directory: Path,
 ) : AutoCloseable {
     /** Link from the store to this entry. */
     val link = LinkRelay(cell.store.address).apply { bitsPerSecond = shape.linkMbps * BITS_PER_MEGABIT }
@@ -27,6 +27,7 @@
         )
     }
     private val settingsFile = directory.resolve("$name.json")
+    private val logFile = directory.resolve("$name.log")
     private var process: Process? = null
 
     /** Address for callers. */
@@ -62,12 +63,16 @@
             (fields?.getOrNull(1)?.toDoubleOrNull() ?: 0.0) / NANOS_PER_MS
         }
 
+    /** Number of log lines of level `ERROR` so far, over all starts. */
+    val errorLines: Int
+        get() = logFile.toFile().takeIf { it.exists() }?.useLines { lines -> lines.count { ERROR_MARK in it } } ?: 0
+
     /** Starts the process. */
     fun start() {
         Files.writeString(settingsFile, Json.encodeToString(GatewaySettings.serializer(), settings))
         val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
         val command = listOf(java) + JVM_FLAGS + program() + listOf("gateway", "--settings", settingsFile.toString())
-        val log = ProcessBuilder.Redirect.appendTo(directory.resolve("$name.log").toFile())
+        val log = ProcessBuilder.Redirect.appendTo(logFile.toFile())
         val started = ProcessBuilder(if (shape.small) ProcessorShare.onOneCore(command, shape.core) else command)
             .redirectErrorStream(true).redirectOutput(log).start()
         process = started
@@ -93,6 +98,7 @@
         const val BITS_PER_MEGABIT = 1e6
         const val NANOS_PER_MS = 1e6
         const val KILOBYTES_PER_MEGABYTE = 1_024
+        const val ERROR_MARK = "\"level\":\"ERROR\""
 
         /** The flags of deploy/system.toml; with the VM's memory, since the first size of the heap depends on it. */
         val JVM_FLAGS = listOf(
--- a/bench/src/main/kotlin/io/poplarwood/bench/restores/RestoresBench.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/restores/RestoresBench.kt
@@ -59,7 +59,9 @@
             plan.run(if (options.quick) QUICK_STEPS else STEPS)
             val calls = callsPerSecond(cell)
             watches.forEach { it.close() }
-            return report(options.seed, plan.restores, samples.toList(), leaving.lateRequests, calls)
+            val errors = BenchCheck("errors logged by entries", entries.sumOf { it.errorLines }.toDouble(), 0.0)
+            val report = report(options.seed, plan.restores, samples.toList(), leaving.lateRequests, calls)
+            return report.copy(checks = report.checks + errors)
         } finally {
             closeEntries.run()
             Runtime.getRuntime().removeShutdownHook(closeEntries)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/GatewayMetrics.kt
@@ -1,6 +1,7 @@
 package io.poplarwood.gateway.metrics
 
 import io.poplarwood.gateway.limit.PermitEvent
+import io.poplarwood.gateway.log.GatewayEvent
 import io.poplarwood.gateway.route.RouteProblemType
 import io.poplarwood.gateway.runtime.Outcome
 import io.prometheus.metrics.core.metrics.Counter
@@ -9,6 +10,7 @@
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import io.prometheus.metrics.model.snapshots.Unit
+import org.slf4j.event.Level
 import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
@@ -22,6 +24,11 @@
         "poplarwood_gateway_dropped_answers",
         "Answers of upstreams that were dropped because the memory for answers was full.",
     )
+    private val errors = counter(
+        "poplarwood_gateway_errors",
+        "Failures of the entry itself, by the event that was logged; each one is a fault.",
+        "event",
+    )
     private val probes = counter("poplarwood_gateway_probes", "Questions to upstreams for their load.")
     private val permits =
         counter(
@@ -54,6 +61,9 @@
     private val requestsByOutcome = Outcome.entries.map { requests.labelValues(it.label) }
     private val retriesByReason = RetryReason.entries.map { retries.labelValues(it.name.lowercase()) }
 
+    private val errorsByEvent = GatewayEvent.entries.filter { it.level == Level.ERROR }
+        .associate { it.id to errors.labelValues(it.id) }
+
     private val permitsByEvent = PermitEvent.entries.map { permits.labelValues(it.name.lowercase()) }
 
     private val transfersByEvent = TransferEvent.entries.map { transfers.labelValues(it.name.lowercase()) }
@@ -113,6 +123,12 @@
     /** Counts an answer of an upstream that was dropped because the memory for answers was full. */
     fun answerDropped() = droppedAnswers.inc()
 
+    /** Number of events of level `ERROR` that were logged. */
+    val errorCount: Long get() = errorsByEvent.values.sumOf { it.longValue }
+
+    /** Counts an event of level `ERROR` that was logged as [event]. */
+    fun errorLogged(event: String) = errorsByEvent.getValue(event).inc()
+
     /** Counts a load probe of an upstream. */
     fun probeSent() = probes.inc()
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -66,6 +66,9 @@
         ::ownEntry,
     )
     private var stopping = false
+
+    /** Number of log lines of level `ERROR` so far; each of them is a fault of this code. */
+    val errorCount: Long get() = runtime.metrics.errorCount
     private val serving: Boolean
         get() = state.replica.state != null && state.upstreams.all.isNotEmpty() && !stopping
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/ProcessRuntime.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/ProcessRuntime.kt
@@ -26,8 +26,8 @@
     val eventLoop: EventLoop = eventLoopGroup.next()
     val scope = CoroutineScope(SupervisorJob() + eventLoop.asCoroutineDispatcher())
     val background = BackgroundThread()
-    val log = EventLog()
     val metrics = GatewayMetrics()
+    val log = EventLog { metrics.errorLogged(it.id) }
 
     /** Runs [work] on the event loop after [pause]. */
     fun schedule(pause: Duration, work: () -> Unit) {
