--- a/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/log/GatewayEvent.kt
@@ -232,13 +232,14 @@
     PEER_SILENT(6402, Level.WARN, "another entry is silent", "peer", "silentMs"),
     PEER_LEAVING(6403, Level.INFO, "another entry is stopping", "peer"),
     ROLES_CHANGED(6404, Level.INFO, "the entries that accept the zone's callers changed", "zone", "entries", "self"),
+    HEARTBEATS_LATE(6405, Level.WARN, "heartbeats were read long after they were sent", "peer", "count", "longestMs"),
     ;
 
     /** Identifier in the log, such as `PW-6001`. */
     val id: String get() = "PW-$number"
 
     private object Fields {
-        val LAG = arrayOf("behindMs", "storeVersion", "newestVersion", "source", "reason")
+        val LAG = arrayOf("behindMs", "storeVersion", "newestVersion", "source", "reason", "confirmedMs")
         val REQUEST = arrayOf(
             "requestId",
             "route",
@@ -251,6 +252,7 @@
             "trail",
             "version",
             "fingerprint",
+            "confirmedMs",
         )
     }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
@@ -41,6 +41,7 @@
     private val startedAt = ticker.now()
     private val updateParts = UpstreamUpdateParts(self)
     private val schedule = HeartbeatPlan(record.zone, table, roles)
+    private val lateHeartbeats = LateHeartbeatLog(log)
 
     /** Exchange of the requests that upstreams ended under. */
     val crashGossip = CrashGossip(self, crashes, table, ticker, log, send)
@@ -169,6 +170,7 @@
         crashes = crashGossip.digest,
         readingMs = readingSince?.let { maxOf((now - it).inWholeMilliseconds, 1) } ?: 0,
         everyMs = period.inWholeMilliseconds.toInt(),
+        sentMs = now.inWholeMilliseconds,
     )
 
     /** Sends load [updates] to the peers of the own zone ([near]) or of other zones that need each change at once. */
@@ -228,6 +230,7 @@
         val isNew = table.onHeartbeat(hello, ticker.now())
         if (isNew) log.log(GatewayEvent.PEER_SEEN, hello.from, hello.callers)
         if (hello.stopping && !wasStopping) log.log(GatewayEvent.PEER_LEAVING, hello.from)
+        lateHeartbeats.record(hello, table[hello.from], ticker.now())
         hello.load?.let { loadGossip.receive(hello.from, it) }
         compareVersions(hello)
         crashGossip.sendIfDifferent(hello.crashes, hello.peers)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
@@ -55,6 +55,8 @@
      * @property crashes digest of the crash records that the sender has
      * @property readingMs time for which a newer desired state has been arriving at the sender from the store, in
      * milliseconds; 0 while none is
+     * @property sentMs reading of the sender's clock when it sent this heartbeat, in milliseconds; null when it does not
+     * say
      * @property load the first part of the load that comes with this heartbeat; null where the receiver takes no
      * requests, or where the heartbeat has no room for it
      */
@@ -83,6 +85,7 @@
         @SerialName("i") val everyMs: Int = INITIAL_INTERVAL_MS,
         @SerialName("k") val crashes: Long = 0,
         @SerialName("rm") val readingMs: Long = 0,
+        @SerialName("t") val sentMs: Long? = null,
         @SerialName("lp") val load: LoadPart? = null,
     ) : PeerMessage
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerStatus.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerStatus.kt
@@ -11,6 +11,9 @@
     var lastSeenAt: Duration = -Duration.INFINITE
     var silent = true
 
+    /** The peer's clock against this entry's. */
+    val clock = PeerClock()
+
     /** When the peer last reported that it receives requests. */
     var lastRequestsAt: Duration = -Duration.INFINITE
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerTable.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerTable.kt
@@ -33,6 +33,7 @@
         peer.record = record
         peer.hello = hello
         peer.lastSeenAt = now
+        hello.sentMs?.let { peer.clock.record(it, hello.upMs, now) }
         if (hello.requestsPerS > 0) peer.lastRequestsAt = now
         return peer.silent.also { peer.silent = false }
     }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/ConfigurationAdmission.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/ConfigurationAdmission.kt
@@ -14,6 +14,9 @@
     private val ticker: Ticker,
     private val changeBound: () -> Duration,
 ) {
+    /** Staleness of the configuration now, in milliseconds; null if it was never confirmed. */
+    val confirmedMs: Long? get() = freshness.age(ticker.now()).stalenessMs
+
     /** What a request meets that arrives now. */
     fun verdict(routeFound: Boolean): FreshnessVerdict {
         val now = ticker.now()
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/ConfigurationLagLog.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/ConfigurationLagLog.kt
@@ -36,8 +36,11 @@
     }
 
     private fun write(event: GatewayEvent, lag: Lag) {
-        val forMs = (ticker.now() - lag.since).inWholeMilliseconds
-        log(event, arrayOf<Any?>(forMs, book.stateVersion.row, book.freshness.newestKnown, lag.source, lag.reason))
+        val now = ticker.now()
+        val forMs = (now - lag.since).inWholeMilliseconds
+        val newest = book.freshness.newestKnown
+        val confirmedMs = book.freshness.age(now).stalenessMs
+        log(event, arrayOf<Any?>(forMs, book.stateVersion.row, newest, lag.source, lag.reason, confirmedMs))
     }
 
     private class Lag(val since: Duration, val source: String, val reason: String)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestHandler.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestHandler.kt
@@ -81,6 +81,7 @@
         if (refusingNew) return refuse(report, Outcome.STOPPING, OTHER_ENTRY_RETRY_AFTER, close = true)
         val route = stateBook.routes.find(request.host, request.target)
         report.route = route
+        report.confirmedMs = configurationAdmission.confirmedMs
         val freshness = configurationAdmission.verdict(route != null)
         if (route == null || freshness != FreshnessVerdict.SERVE) return refuseFor(freshness, report)
         if (!route.readable) return refuse(report, Outcome.UNREADABLE_ROUTE, UNREADABLE_ROUTE_RETRY_AFTER)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestLog.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestLog.kt
@@ -47,6 +47,7 @@
         report.attempts.joinToString(" ") { it.describe() },
         report.stateVersion,
         java.lang.Long.toHexString(report.fingerprint),
+        report.confirmedMs,
     )
 
     /** Allows [perSecond] lines in each second. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestReport.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestReport.kt
@@ -14,6 +14,9 @@
 
     /** Time from the arrival of the request until it got a slot or was refused. */
     var queuedFor: Duration = Duration.ZERO
+
+    /** Staleness of the configuration when the request was last sent, or judged, in milliseconds; null if unknown. */
+    var confirmedMs: Long? = null
     val attempts = ArrayList<Attempt>(2)
     var outcome: Outcome = Outcome.FAILED
     var status: Int = 0
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
@@ -222,6 +222,7 @@
             Attempt.describeKnownState(row, now, decisions.crashSuspects.lossCount(request.fingerprint, now)),
         )
         report.attempts += attempt
+        report.confirmedMs = handler.configurationAdmission.confirmedMs
         runningAttempts += attempt
         triedUpstreams += row.id
         sentCount++
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/ConfigurationAge.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/ConfigurationAge.kt
@@ -15,4 +15,7 @@
     val staleness: Duration,
     val newerKnown: Boolean,
     val overtakenSince: Duration?,
-)
+) {
+    /** [staleness] in milliseconds, for the log; null when it is infinite. */
+    val stalenessMs: Long? get() = staleness.takeIf { it.isFinite() }?.inWholeMilliseconds
+}
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/runtime/ConfigurationLagLogSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/runtime/ConfigurationLagLogSpec.kt
@@ -61,13 +61,15 @@
     @Test
     fun `an entry that lacks a version is logged once after a second, and when it has it`() {
         apply("1", 10)
+        book.freshness.confirm(now - 1_901.milliseconds)
         book.freshness.heard("p", storeVersion(11), storeVersion(11), now, now)
         checkAfter(999.milliseconds)
         assertEquals(emptyList(), lines)
         repeat(5) { checkAfter(100.milliseconds) }
         apply("2", 11)
         checkAfter(100.milliseconds)
-        assertEquals(listOf("PW-6114 1099 1.10 1.11 p not-received", "PW-6115 1599 1.11 1.11 p not-received"), lines)
+        val behind = "PW-6114 1099 1.10 1.11 p not-received 3000"
+        assertEquals(listOf(behind, "PW-6115 1599 1.11 1.11 p not-received 3500"), lines)
     }
 
     @Test
@@ -75,7 +77,7 @@
         apply("1", 10)
         apply("x", 11)
         checkAfter(1.seconds)
-        assertEquals(listOf("PW-6114 1000 1.10 1.11 store unreadable"), lines)
+        assertEquals(listOf("PW-6114 1000 1.10 1.11 store unreadable null"), lines)
     }
 
     /** Guards against lines for the short lag of each change. */
