--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedCluster.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedCluster.kt
@@ -11,6 +11,7 @@
 import io.poplarwood.gateway.log.EventLog
 import io.poplarwood.gateway.metrics.GatewayMetrics
 import io.poplarwood.gateway.runtime.AvailabilityTracker
+import io.poplarwood.gateway.runtime.ConfigurationAdmission
 import io.poplarwood.gateway.runtime.RateLimiting
 import io.poplarwood.gateway.runtime.StateExchange
 import io.poplarwood.gateway.store.StateReplica
@@ -29,6 +30,7 @@
 import kotlinx.coroutines.plus
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Entries that share a store and exchange messages, in virtual time. A datagram takes [DATAGRAM_TIME]; a peer's reply
@@ -54,6 +56,12 @@
     /** Names of entries that exchange neither datagrams nor replies with others. */
     val isolated = HashSet<String>()
 
+    /** Names of entries that get no replies from others, only datagrams. */
+    val withoutReplies = HashSet<String>()
+
+    /** Time for which what arrives at an entry waits until its busy event loop reads it, by entry name. */
+    val readDelay = HashMap<String, Duration>().also { store.readDelay = it }
+
     val links = SimulatedLinks(ticker).also { store.links = it }
 
     /** Share of datagrams that is lost, 0.0 to 1.0. */
@@ -108,8 +116,13 @@
             return null
         }
         if (peer in stopped) return null
+        if (self in withoutReplies) {
+            delay(deadline - ticker.now())
+            return null
+        }
         val reply = source.exchange.reply(path) ?: return null
         val arrived = links.transfer(peer, self, reply.size, deadline - ticker.now())
+        readDelay[self]?.let { delay(it) }
         return reply.takeIf { arrived && !source.ended && self !in isolated && peer !in isolated }
     }
 
@@ -119,7 +132,7 @@
             datagrams++
             if (message is PeerMessage.Hello) heartbeats++
             scope.launch {
-                delay(DATAGRAM_TIME)
+                delay(DATAGRAM_TIME + (readDelay[address] ?: Duration.ZERO))
                 val lost = random.nextDouble() < loss || from in isolated || address in isolated
                 if (!lost && address !in unreachable && address !in stopped) byName[address]?.peers?.receive(message)
             }
@@ -135,6 +148,9 @@
 
         private val scope = this@SimulatedCluster.scope.let { it + Job(it.coroutineContext.job) }
 
+        /** What a request meets that arrives now, with a bound of [CHANGE_BOUND]. */
+        val admission by lazy { ConfigurationAdmission(book.freshness, ticker) { CHANGE_BOUND } }
+
         /** Whether this incarnation has ended. */
         var ended = false
             private set
@@ -259,16 +275,18 @@
         }
     }
 
-    private companion object {
-        const val DEFAULT_LINK_MBPS = 1_000.0
+    companion object {
+        /** Time within which a configuration must be in force. */
+        val CHANGE_BOUND: Duration = 2.seconds
+        private const val DEFAULT_LINK_MBPS = 1_000.0
 
         /** Read calls per second that a store allows to 134 entries. */
-        const val READS_PER_S = 6_000.0
-        val DATAGRAM_TIME: Duration = 2.milliseconds
+        private const val READS_PER_S = 6_000.0
+        private val DATAGRAM_TIME: Duration = 2.milliseconds
 
         /** As in GatewayProcess. */
-        val PEER_QUERY_TIMEOUT: Duration = 500.milliseconds
-        val ACTIVE_TICK: Duration = 100.milliseconds
-        val STANDBY_TICK: Duration = 250.milliseconds
+        private val PEER_QUERY_TIMEOUT: Duration = 500.milliseconds
+        private val ACTIVE_TICK: Duration = 100.milliseconds
+        private val STANDBY_TICK: Duration = 250.milliseconds
     }
 }
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedStore.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/SimulatedStore.kt
@@ -32,6 +32,9 @@
     /** Time that an answer with the desired state takes to arrive, by entry name; infinite when it stalls. */
     val arrivalTime = HashMap<String, Duration>()
 
+    /** Time for which an answer waits until the busy event loop of its reader takes it, by entry name. */
+    var readDelay: Map<String, Duration> = emptyMap()
+
     /** Version up to which the change history has been dropped. */
     private var historyStart = StoreVersion.NONE
 
@@ -87,7 +90,10 @@
             onArriving: () -> Unit,
         ): Result<RowSnapshot, StoreError> {
             val answered = getOrElse { return this }
-            if (answered.rows.isEmpty()) return this
+            if (answered.rows.isEmpty()) {
+                readDelay[entry]?.let { delay(it) }
+                return this
+            }
             onArriving()
             val time = arrivalTime[entry]?.takeIf { topic == Topic.DESIRED_STATE } ?: Duration.ZERO
             delay(minOf(time, STALL_LIMIT))
@@ -95,6 +101,7 @@
             delay(time - minOf(time, STALL_LIMIT))
             val bytes = answered.rows.sumOf { row -> row.value?.size ?: 0 }
             val arrived = links?.receive(entry, bytes, TOTAL_LIMIT) ?: true
+            readDelay[entry]?.let { delay(it) }
             return if (arrived && entry !in downFor) this else Err(StoreError.NoAnswer)
         }
 
