Judge a request again when its connection is open, before anything is sent

Opening a connection takes up to 250 ms, more on a busy event loop. The age of the configuration, and the time that is left for the upstream, were both those of before.

The pool asks when the connection is open; a request that may not be sent then is withheld, keeps its promise of not-run, and the connection stays in the pool. The deadline header is computed at the write.

UpstreamConnectionPoolSpec: with connections that take 200 ms, the upstream was told 1,000 ms of 800 that were left. The two cases of withheld requests have no form on the code before, which does not ask.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/AttemptResult.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/AttemptResult.kt
@@ -25,6 +25,9 @@
     /** No connection could be opened, so nothing was sent. */
     data object NotSent : AttemptResult
 
+    /** Nothing was sent, because the request could not be sent any more when its connection was open. */
+    data object Withheld : AttemptResult
+
     /** The request may have run, but no usable response will be received because of [cause]. */
     class Lost(val cause: LossCause) : AttemptResult
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnection.kt
@@ -207,7 +207,7 @@
         val headers = message.headers()
         headers.set(request.headers)
         headers.set(HttpHeaderNames.HOST, request.host)
-        headers.set(names.deadlineMs, outbound.remaining.inWholeMilliseconds.coerceAtLeast(1))
+        headers.set(names.deadlineMs, (outbound.deadline - ticker.now()).inWholeMilliseconds.coerceAtLeast(1))
         headers.set(names.expectedUpstream, outbound.expectedUpstream)
         val omitContentLength = request.body.isEmpty() && request.method in METHODS_WITHOUT_BODY
         if (omitContentLength) {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnectionPool.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnectionPool.kt
@@ -37,6 +37,7 @@
 
     /**
      * Sends [outbound] to the upstream at [address] and waits for the result. Cancellation closes the connection.
+     * Opening a connection takes time, in which the request may reach its deadline or become one that must not be sent.
      *
      * @param maxIdle a pooled connection that has been idle for longer is not reused
      * @param onConnected called with the time at which the connection that is used was opened
@@ -49,6 +50,10 @@
     ): AttemptResult {
         val connection =
             idle[address]?.take(ticker.now(), maxIdle) ?: connect(address) ?: return AttemptResult.NotSent
+        if (ticker.now() >= outbound.deadline || !outbound.maySend()) {
+            addIdle(address, connection)
+            return AttemptResult.Withheld
+        }
         onConnected(connection.openedAt)
         return suspendCancellableCoroutine { continuation ->
             continuation.invokeOnCancellation { connection.close() }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamRequest.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamRequest.kt
@@ -5,7 +5,13 @@
 /**
  * A request as it is sent to one upstream.
  *
- * @property remaining time from sending the request to its deadline
+ * @property deadline when its caller stops waiting, as a reading of the entry's ticker
  * @property expectedUpstream id of the only upstream that may run the request
+ * @property maySend whether the request may still be sent; asked when its connection is open
  */
-internal class UpstreamRequest(val request: CallerRequest, val remaining: Duration, val expectedUpstream: String)
+internal class UpstreamRequest(
+    val request: CallerRequest,
+    val deadline: Duration,
+    val expectedUpstream: String,
+    val maySend: () -> Boolean = { true },
+)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Attempt.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Attempt.kt
@@ -36,6 +36,7 @@
         is AttemptResult.NotExecuted -> ended.cause.name.lowercase()
         is AttemptResult.Lost -> ended.cause.name.lowercase()
         AttemptResult.NotSent -> "not-sent"
+        AttemptResult.Withheld -> "withheld"
     }
 
     companion object {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/AttemptFeedback.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/AttemptFeedback.kt
@@ -47,7 +47,7 @@
                 updateSuspicion(attempt, now) { recordLoss(row, now) }
                 crashes.connectFailed(row)
             }
-            null -> Unit
+            AttemptResult.Withheld, null -> Unit
         }
     }
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
@@ -135,6 +135,11 @@
                 connectFailures++
                 retry(RetryReason.NOT_SENT) ?: ifNothingRuns { evidence.refuse(Outcome.NOT_SENT, DEFAULT_RETRY_AFTER) }
             }
+            AttemptResult.Withheld -> {
+                sentCount--
+                val outcome = if (ticker.now() >= deadline) Outcome.EXPIRED else Outcome.BEHIND
+                ifNothingRuns { evidence.refuse(outcome, RequestHandler.OTHER_ENTRY_RETRY_AFTER) }
+            }
             is AttemptResult.Lost -> {
                 evidence.mayHaveRun = true
                 val outcome = if (result.cause == LossCause.NO_MEMORY) Outcome.NO_MEMORY else Outcome.LOST
@@ -230,7 +235,9 @@
         handler.attemptFeedback.attemptStarted(attempt, request.fingerprint, deadline)
         launch {
             try {
-                val outbound = UpstreamRequest(request, deadline - now, row.id)
+                val outbound = UpstreamRequest(request, deadline, row.id) {
+                    handler.configurationAdmission.maySend(request.arrivedAt)
+                }
                 val maxIdle = if (route.kind.retryable) MAX_LINK_IDLE_IDEMPOTENT else MAX_LINK_IDLE
                 attempt.result = handler.upstreamLinks.exchange(row.record.address, outbound, maxIdle) {
                     attempt.connectedAt = it
