--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnectionPool.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnectionPool.kt
@@ -20,6 +20,7 @@
  * Pool of connections to upstreams, by address (`ip:port`). Must be used from the event loop only.
  *
  * @param memory for responses that are not complete yet
+ * @param path where an upstream that is registered at an address is reached
  * @param onConnect called before each attempt to open a connection
  */
 internal class UpstreamConnectionPool(
@@ -27,6 +28,7 @@
     private val names: HeaderNames,
     private val ticker: Ticker,
     private val memory: BodyMemoryBudget,
+    private val path: (address: String) -> String = { it },
     private val onConnect: () -> Unit = {},
 ) {
     private val idle = HashMap<String, IdleConnections<UpstreamConnection>>()
@@ -97,7 +99,7 @@
                     channel.pipeline().addLast(HttpRequestEncoder(), decoder, created)
                 }
             }
-            val future = bootstrap.clone().handler(initializer).connect(socketAddress(address))
+            val future = bootstrap.clone().handler(initializer).connect(socketAddress(path(address)))
             continuation.invokeOnCancellation { future.channel().close() }
             future.addListener { attempt ->
                 if (!continuation.isActive) return@addListener
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayDaemon.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayDaemon.kt
@@ -42,7 +42,7 @@
         Signal.handle(Signal("HUP")) { commands.add(Command.RELOAD) }
         val random = SplitMix(System.nanoTime() xor settings.entry.hashCode().toLong())
         val sinceStart = { ticker.now() - startedAt }
-        val process = GatewayProcess(settings, adapter, ticker, random, sinceStart)
+        val process = GatewayProcess(settings, adapter, ticker, random, sinceStart = sinceStart)
         // Without this the event loop would keep a process alive whose start failed.
         return try {
             runUntilStopped(process)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -24,6 +24,7 @@
  * One gateway: what it knows, its exchange with other entries, and the way of requests, wired together on one event
  * loop. All except the log writer and long computations runs on that loop, so no state needs a lock.
  *
+ * @param upstreamPath where an upstream that is registered at an address is reached
  * @param sinceStart time since the program began to run; excludes the start of the Java runtime
  */
 class GatewayProcess(
@@ -31,6 +32,7 @@
     adapter: Adapter,
     private val ticker: Ticker,
     random: RandomSource,
+    upstreamPath: (address: String) -> String = { it },
     private val sinceStart: () -> Duration,
 ) {
     private var bounds = settings.bounds
@@ -51,7 +53,7 @@
     private val peers: PeerServices =
         PeerServices(settings, runtime, state, store, httpClient) { requests.dispatchQueued() }
     private val requests: RequestPath =
-        RequestPath(settings, adapter, runtime, state, peers, httpClient) { bounds }
+        RequestPath(settings, adapter, runtime, state, peers, httpClient, upstreamPath) { bounds }
     private val routeProblems = RouteProblemReporter(log, runtime.metrics)
     private val configurationLagLog = ConfigurationLagLog(state.replica, ticker, log::log)
     private val createdAt = ticker.now()
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/LoadProber.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/LoadProber.kt
@@ -17,7 +17,11 @@
 import kotlinx.coroutines.launch
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Probes upstreams for their load and shares the slowness that they report with the other entries. */
+/**
+ * Probes upstreams for their load and shares the slowness that they report with the other entries.
+ *
+ * @param path where an upstream that is registered at an address is reached
+ */
 internal class LoadProber(
     private val upstreams: UpstreamTable,
     private val probeChoice: ProbeSelector,
@@ -30,6 +34,7 @@
     private val availability: AvailabilityTracker,
     private val crashes: CrashDetector,
     private val ticker: Ticker,
+    private val path: (address: String) -> String,
 ) {
     /** Starts probes of the upstreams that this entry has to probe and that are due. */
     fun probeDueUpstreams(scope: CoroutineScope) {
@@ -43,12 +48,12 @@
         }
     }
 
-    private suspend fun probe(row: UpstreamRow, service: ServiceName, path: String) {
+    private suspend fun probe(row: UpstreamRow, service: ServiceName, healthPath: String) {
         val sentAt = ticker.now()
         row.probedAt = sentAt
         row.recentSends.add(sentAt)
         metrics.probeSent()
-        val reply = httpClient.call(row.record.address, "GET", path, null, PROBE_TIMEOUT, MAX_REPLY_BYTES)
+        val reply = httpClient.call(path(row.record.address), "GET", healthPath, null, PROBE_TIMEOUT, MAX_REPLY_BYTES)
         val now = ticker.now()
         row.probeDuration += (now - sentAt - row.probeDuration) * PROBE_TIME_SMOOTHING
         // Another upstream may run at this address by now.
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestPath.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestPath.kt
@@ -22,6 +22,7 @@
  * answers.
  *
  * @param bounds the bounds in force
+ * @param upstreamPath where an upstream that is registered at an address is reached
  */
 internal class RequestPath(
     settings: GatewaySettings,
@@ -30,6 +31,7 @@
     state: EntryState,
     peers: PeerServices,
     httpClient: EntryHttpClient,
+    upstreamPath: (address: String) -> String,
     bounds: () -> Bounds,
 ) {
     private val ticker = runtime.ticker
@@ -54,6 +56,7 @@
         adapter.headerNames,
         ticker,
         BodyMemoryBudget(bodyMemoryBytes),
+        upstreamPath,
         runtime.metrics::connectionOpened,
     )
     private val livenessCheck =
@@ -80,6 +83,7 @@
         state.availability,
         crashDetector,
         ticker,
+        upstreamPath,
     )
     val requestHandler = RequestHandler(
         state.replica,
