Send requests on by way of another entry while this one is cut off from upstreams

Cause: an entry ejects each upstream by itself and compares nothing with what others see, so it never learns that it is itself the one; roles and the directory ignore it; and no request can reach an upstream but from the entry that it came to. Class: a failure is put down to the other end, because only one end is looked at.

UpstreamReach: when two upstreams in a row fail an entry, or are overdue, and none has answered since, it tries to connect to eight; it is cut off when it reaches none while at least two of them answer others meanwhile (load updates, or a question to three entries). Checks find out when the path is whole; callers come back after a pause that doubles when the path comes and goes.

Roles and directory pass over entries that are cut off while others are better. A request of a cut service goes to one other entry, which makes the attempts with the time, the attempts and the fingerprint that are left and says whether it ran; the first entry counts it for the budget, the second takes repeats.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/SlotQueue.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/SlotQueue.kt
@@ -69,7 +69,7 @@
         waiting.sortWith(
             compareBy<SlotRequest> {
                 !it.canMeetTarget(now)
-            }.thenBy { it.priority }.thenBy { orderKey(it, now) },
+            }.thenBy { it.priority }.thenBy { it.relayed }.thenBy { orderKey(it, now) },
         )
         askForPermit(waiting.first(), rows, now)
         var ahead = 0
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/SlotRequest.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/SlotRequest.kt
@@ -9,6 +9,7 @@
  * @property priority 0 is the most urgent
  * @property targetTime target time, after which the answer is worth much less
  * @property deadline time after which the answer is worth nothing
+ * @property relayed whether another entry sent the request on; callers of this entry come first
  * @property exclude upstreams that already received the request
  * @property onDecision receives the selected upstream, or the reason why there is none
  */
@@ -20,6 +21,7 @@
     val targetTime: Duration,
     val deadline: Duration,
     val exclude: Set<String>,
+    val relayed: Boolean = false,
     val onDecision: (SlotDecision) -> Unit,
 ) {
     var cancelled: Boolean = false
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/directory/Directory.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/directory/Directory.kt
@@ -7,7 +7,7 @@
 
 /**
  * Selects the entries that a caller should use: the active entries of the caller's zone, and those of other zones when
- * that zone has too few.
+ * that zone has too few. Entries that are cut off from upstreams are named only when no other is known.
  *
  * @param zone zone assumed for callers that do not state theirs
  * @param zones all zones that have entries
@@ -29,7 +29,7 @@
         val sameZone = entries.addressesOf(homeZone)
         if (sameZone.size >= ActivePolicy.MIN_ACTIVE) return sameZone.take(MAX_ENTRIES)
         val otherZones = (zones() - homeZone).sorted().flatMap { entries.addressesOf(it) }
-        return (sameZone + otherZones).take(MAX_ENTRIES)
+        return (sameZone + otherZones).ifEmpty { entries.allAddresses() }.take(MAX_ENTRIES)
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/directory/OwnEntry.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/directory/OwnEntry.kt
@@ -8,5 +8,11 @@
  * @property serving whether this entry accepts requests and is not stopping
  * @property uptime time since the start of this entry
  * @property requestsPerS rate of requests that this entry receives
+ * @property cutOff whether this entry cannot reach upstreams that others reach
  */
-internal data class OwnEntry(val serving: Boolean, val uptime: Duration, val requestsPerS: Int)
+internal data class OwnEntry(
+    val serving: Boolean,
+    val uptime: Duration,
+    val requestsPerS: Int,
+    val cutOff: Boolean = false,
+)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/CallerListener.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/CallerListener.kt
@@ -19,6 +19,7 @@
  *
  * @param bodyMemory memory for request bodies, shared by all connections
  * @param currentLimits the limits in force, which may change with the desired state
+ * @property fromEntries whether other entries connect here, not callers
  * @param isRetryable whether requests to a target of a host may run more than once
  */
 internal class CallerListener(
@@ -31,6 +32,7 @@
     private val currentLimits: () -> CallerLimits,
     val isRetryable: (host: String, target: String) -> Boolean,
     val serve: suspend (CallerRequest) -> CallerResponse,
+    val fromEntries: Boolean = false,
 ) {
     private val connections = HashSet<CallerConnection>()
     private var channel: Channel? = null
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/CallerRequest.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/CallerRequest.kt
@@ -1,6 +1,7 @@
 package io.poplarwood.gateway.http
 
 import io.netty.handler.codec.http.HttpHeaders
+import io.poplarwood.gateway.relay.Hop
 import kotlin.time.Duration
 
 /**
@@ -10,8 +11,9 @@
  * @property headers end-to-end headers
  * @property id id that the caller gave to the request; null if it gave none
  * @property callerAddress IP address of the caller
- * @property arrived when the head of the request was received, as a reading of the entry's ticker
- * @property patience how long the caller waits, counted from [arrived]; null if the caller does not say
+ * @property arrivedAt when the head of the request was received, as a reading of the entry's ticker
+ * @property timeout how long the caller waits, counted from [arrivedAt]; null if the caller does not say
+ * @property hop what another entry passed on that sent the request here; null for a request of a caller
  */
 internal class CallerRequest(
     val method: String,
@@ -23,14 +25,20 @@
     val callerAddress: String,
     val arrivedAt: Duration,
     val timeout: Duration?,
+    val hop: Hop? = null,
 ) {
     /** Hash of caller address, method, host, target and body; equal for repeated requests with different ids. */
-    val fingerprint: Long by lazy(LazyThreadSafetyMode.NONE) {
+    val fingerprint: Long by lazy(LazyThreadSafetyMode.NONE) { hop?.fingerprint ?: hash() }
+
+    /** When the caller stops waiting, or the route's [timeout] has passed, as a reading of the entry's ticker. */
+    fun deadline(timeout: Duration): Duration = arrivedAt + minOf(this.timeout ?: timeout, timeout)
+
+    private fun hash(): Long {
         var hash = callerAddress.hashCode().toLong()
         hash = hash * PRIME + method.hashCode()
         hash = hash * PRIME + host.hashCode()
         hash = hash * PRIME + target.hashCode()
-        hash * PRIME + body.contentHashCode()
+        return hash * PRIME + body.contentHashCode()
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/IncomingRequest.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/IncomingRequest.kt
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpUtil
+import io.poplarwood.gateway.relay.RelayHeaders
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -22,14 +23,17 @@
     /**
      * The complete request, without hop-by-hop headers, `Expect` and the id of the expected upstream, which only an
      * entry may set.
+     *
+     * @param fromEntry whether another entry sent the request, with the headers of a hop
      */
-    fun toCallerRequest(names: HeaderNames, callerAddress: String): CallerRequest {
+    fun toCallerRequest(names: HeaderNames, callerAddress: String, fromEntry: Boolean): CallerRequest {
         val headers = head.headers()
         val id = headers[names.requestId]
         val timeout = headers[names.deadlineMs]?.toLongOrNull()?.takeIf { it >= 0 }?.milliseconds
         HopByHopHeaders.strip(headers)
         headers.remove(HttpHeaderNames.EXPECT)
         headers.remove(names.expectedUpstream)
-        return CallerRequest(method, target, host, headers, body.bytes(), id, callerAddress, arrivedAt, timeout)
+        val hop = if (fromEntry) RelayHeaders.take(headers) else null
+        return CallerRequest(method, target, host, headers, body.bytes(), id, callerAddress, arrivedAt, timeout, hop)
     }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnection.kt
@@ -208,7 +208,8 @@
         headers.set(request.headers)
         headers.set(HttpHeaderNames.HOST, request.host)
         headers.set(names.deadlineMs, (outbound.deadline - ticker.now()).inWholeMilliseconds.coerceAtLeast(1))
-        headers.set(names.expectedUpstream, outbound.expectedUpstream)
+        outbound.expectedUpstream?.let { headers.set(names.expectedUpstream, it) }
+        outbound.extraHeaders.forEach { (name, value) -> headers.set(name, value) }
         val omitContentLength = request.body.isEmpty() && request.method in METHODS_WITHOUT_BODY
         if (omitContentLength) {
             headers.remove(HttpHeaderNames.CONTENT_LENGTH)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/GatewayMetrics.kt
@@ -2,6 +2,7 @@
 
 import io.poplarwood.gateway.limit.PermitEvent
 import io.poplarwood.gateway.log.GatewayEvent
+import io.poplarwood.gateway.relay.RelayEvent
 import io.poplarwood.gateway.route.RouteProblemType
 import io.poplarwood.gateway.runtime.Outcome
 import io.prometheus.metrics.core.metrics.Counter
@@ -24,6 +25,13 @@
         "poplarwood_gateway_dropped_answers",
         "Answers of upstreams that were dropped because the memory for answers was full.",
     )
+    private val relays = counter(
+        "poplarwood_gateway_relays",
+        "Requests sent by way of other entries, and received from them, by what became of them.",
+        "event",
+    )
+    private val cutServices = Gauge.builder().name("poplarwood_gateway_cut_off_services")
+        .help("Services whose upstreams this entry cannot reach while others do.").register(registry)
     private val errors = counter(
         "poplarwood_gateway_errors",
         "Failures of the entry itself, by the event that was logged; each one is a fault.",
@@ -61,6 +69,7 @@
     private val requestsByOutcome = Outcome.entries.map { requests.labelValues(it.label) }
     private val retriesByReason = RetryReason.entries.map { retries.labelValues(it.name.lowercase()) }
 
+    private val relaysByEvent = RelayEvent.entries.map { relays.labelValues(it.name.lowercase()) }
     private val errorsByEvent = GatewayEvent.entries.filter { it.level == Level.ERROR }
         .associate { it.id to errors.labelValues(it.id) }
 
@@ -123,6 +132,12 @@
     /** Counts an answer of an upstream that was dropped because the memory for answers was full. */
     fun answerDropped() = droppedAnswers.inc()
 
+    /** Counts what became of a request that is sent by way of another entry. */
+    fun relayed(event: RelayEvent) = relaysByEvent[event.ordinal].inc()
+
+    /** Records the number of services that this entry is cut off from. */
+    fun cutOffFrom(services: Int) = cutServices.set(services.toDouble())
+
     /** Number of events of level `ERROR` that were logged. */
     val errorCount: Long get() = errorsByEvent.values.sumOf { it.longValue }
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/ActiveCandidate.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/ActiveCandidate.kt
@@ -7,6 +7,7 @@
  * @property warm whether the entry has run long enough for its code to be compiled and the upstreams to be known
  * @property capacity requests per second that the entry can carry
  * @property requestsPerS requests per second that the entry receives now
+ * @property cutOff whether the entry cannot reach upstreams that others reach
  */
 internal data class ActiveCandidate(
     val name: String,
@@ -14,4 +15,5 @@
     val warm: Boolean,
     val capacity: Int,
     val requestsPerS: Int,
+    val cutOff: Boolean = false,
 )
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/ActiveEntries.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/ActiveEntries.kt
@@ -24,6 +24,12 @@
 
     val requestsPerS: Int get() = own().requestsPerS
 
+    /** Whether this entry cannot reach upstreams that others reach. */
+    val cutOff: Boolean get() = own().cutOff
+
+    /** Whether another entry of this entry's zone cannot reach upstreams. */
+    val hasCutOffNeighbor: Boolean get() = peers.liveInZone(record.zone).any { it.cutOff }
+
     /** Whether this entry takes callers of its zone, or still receives requests from them. */
     fun receivesRequests(): Boolean = active || requestsPerS > 0
 
@@ -43,9 +49,17 @@
         return before != next
     }
 
-    /** Addresses for callers of [zone]; empty when no entry is known there. */
-    fun addressesOf(zone: String): List<String> =
-        if (zone == record.zone) selected.mapNotNull(::addressOf) else ActivePolicy.of(known(zone)).map { it.callers }
+    /** Addresses for callers of [zone], of entries that reach upstreams; empty when no such entry is known there. */
+    fun addressesOf(zone: String): List<String> = if (zone == record.zone) {
+        selected.filterNot(::isCutOff).mapNotNull(::addressOf)
+    } else {
+        ActivePolicy.of(known(zone)).filterNot { it.cutOff }.map { it.callers }
+    }
+
+    /** Addresses for callers of the own zone, whether these entries reach upstreams or not. */
+    fun allAddresses(): List<String> = selected.mapNotNull(::addressOf)
+
+    private fun isCutOff(name: String) = if (name == self) cutOff else peers[name]?.cutOff ?: false
 
     private fun ownSelection(): List<String> = ActivePolicy.of(known(record.zone) + listOfNotNull(ownCandidate())).map {
         it.name
@@ -69,7 +83,7 @@
     }
 
     private fun ownCandidate(): ActiveCandidate? = own().takeIf { it.serving }?.let {
-        ActiveCandidate(self, record.callers, it.uptime >= PeerStatus.WARM_UP_TIME, record.capacity, it.requestsPerS)
+        ActiveCandidate(self, record.callers, it.uptime >= PeerStatus.WARM_UP_TIME, record.capacity, it.requestsPerS, it.cutOff)
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/ActivePolicy.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/ActivePolicy.kt
@@ -6,15 +6,16 @@
  * entries.
  *
  * Entries with the highest capacity come first, because VMs differ in capacity. Further entries join before the first
- * ones are full, because load may grow within seconds. Entries that have just started come last.
+ * ones are full, because load may grow within seconds. Entries that have just started come last. Entries that are
+ * cut off from upstreams are selected only where all of the zone are.
  */
 internal object ActivePolicy {
     /**
      * Selects from [zone], which holds all live entries of one zone; the first entry of the result is the zone leader.
      */
     fun of(zone: List<ActiveCandidate>): List<ActiveCandidate> {
-        val byPreference = zone.sortedWith(PREFERENCE)
-        val requiredCapacity = byPreference.sumOf { it.requestsPerS } / MAX_LOAD_FACTOR
+        val byPreference = zone.filterNot { it.cutOff }.ifEmpty { zone }.sortedWith(PREFERENCE)
+        val requiredCapacity = zone.sumOf { it.requestsPerS } / MAX_LOAD_FACTOR
         var selectedCapacity = 0
         return byPreference.filterIndexed { i, entry ->
             val isSelected = i < MIN_ACTIVE || selectedCapacity < requiredCapacity
@@ -23,10 +24,9 @@
         }
     }
 
-    /** Warm entries first, then by descending capacity, then by name. */
-    val PREFERENCE: Comparator<ActiveCandidate> = compareBy<ActiveCandidate> {
-        !it.warm
-    }.thenByDescending { it.capacity }.thenBy { it.name }
+    /** Entries that reach upstreams first, then warm ones, then by descending capacity, then by name. */
+    val PREFERENCE: Comparator<ActiveCandidate> = compareBy<ActiveCandidate>({ it.cutOff }, { !it.warm })
+        .thenByDescending { it.capacity }.thenBy { it.name }
 
     /** With a single entry, its loss would leave the callers of the zone without another one. */
     const val MIN_ACTIVE = 2
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
@@ -183,6 +183,8 @@
         readingMs = readingSince?.let { maxOf((now - it).inWholeMilliseconds, 1) } ?: 0,
         everyMs = period.inWholeMilliseconds.toInt(),
         sentMs = now.inWholeMilliseconds,
+        relay = record.relay,
+        cutOff = roles.cutOff,
     )
 
     /** Sends load [updates] to the peers of the own zone ([near]) or of other zones that need each change at once. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
@@ -57,6 +57,8 @@
      * milliseconds; 0 while none is
      * @property sentMs reading of the sender's clock when it sent this heartbeat, in milliseconds; null when it does not
      * say
+     * @property relay `ip:port` for requests that other entries send on; null where the sender takes none
+     * @property cutOff whether the sender cannot reach upstreams that others reach, or could not until lately
      * @property load the first part of the load that comes with this heartbeat; null where the receiver takes no
      * requests, or where the heartbeat has no room for it
      */
@@ -86,6 +88,8 @@
         @SerialName("k") val crashes: Long = 0,
         @SerialName("rm") val readingMs: Long = 0,
         @SerialName("t") val sentMs: Long? = null,
+        @SerialName("rl") val relay: String? = null,
+        @SerialName("co") val cutOff: Boolean = false,
         @SerialName("lp") val load: LoadPart? = null,
     ) : PeerMessage
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerRecord.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerRecord.kt
@@ -8,6 +8,7 @@
  * @property callers address for callers
  * @property peers address for other entries
  * @property capacity requests per second that the VM of the entry can carry
+ * @property relay address for requests that other entries send on; null for an entry that takes none
  */
 @Serializable
 internal data class PeerRecord(
@@ -15,6 +16,7 @@
     val callers: String,
     val peers: String,
     val capacity: Int = DEFAULT_CAPACITY,
+    val relay: String? = null,
 ) {
     companion object {
         /** Capacity of an entry that does not state its own. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerStatus.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerStatus.kt
@@ -20,6 +20,9 @@
     /** Whether callers can be sent to the peer. */
     val serving: Boolean get() = !silent && hello?.let { it.serving && !it.stopping } ?: false
 
+    /** Whether the peer cannot reach upstreams that others reach. */
+    val cutOff: Boolean get() = hello?.cutOff ?: false
+
     /** Whether the peer takes callers of its zone, or still receives requests from them. */
     val active: Boolean get() = !silent && hello?.let { it.active || it.requestsPerS > 0 } ?: false
 
@@ -44,7 +47,7 @@
 
     fun toCandidate(): ActiveCandidate {
         val warm = (hello?.upMs ?: 0).milliseconds >= WARM_UP_TIME
-        return ActiveCandidate(name, record.callers, warm, record.capacity, hello?.requestsPerS ?: 0)
+        return ActiveCandidate(name, record.callers, warm, record.capacity, hello?.requestsPerS ?: 0, cutOff)
     }
 
     companion object {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerTable.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerTable.kt
@@ -28,7 +28,7 @@
     /** Records a heartbeat; returns true when the peer was silent or unknown before. */
     fun onHeartbeat(hello: PeerMessage.Hello, now: Duration): Boolean {
         if (hello.from == self) return false
-        val record = PeerRecord(hello.zone, hello.callers, hello.peers, hello.capacity)
+        val record = PeerRecord(hello.zone, hello.callers, hello.peers, hello.capacity, hello.relay)
         val peer = byName.getOrPut(hello.from) { PeerStatus(hello.from, record) }
         peer.record = record
         peer.hello = hello
--- /dev/null
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/relay/RelayedRun.kt
@@ -0,0 +1,137 @@
+package io.poplarwood.gateway.relay
+
+import io.poplarwood.api.id.ServiceName
+import io.poplarwood.gateway.http.AttemptResult
+import io.poplarwood.gateway.http.CallerRequest
+import io.poplarwood.gateway.http.UpstreamConnectionPool
+import io.poplarwood.gateway.http.UpstreamRequest
+import io.poplarwood.gateway.metrics.GatewayMetrics
+import io.poplarwood.gateway.peer.PeerStatus
+import io.poplarwood.gateway.route.Route
+import io.poplarwood.gateway.runtime.ExecutionEvidence
+import io.poplarwood.gateway.runtime.Outcome
+import io.poplarwood.gateway.runtime.RequestHandler
+import io.poplarwood.gateway.runtime.RequestReport
+import io.poplarwood.gateway.runtime.RequestResult
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Executes one request by way of other entries, because this one cannot reach the upstreams of [service].
+ *
+ * The helper makes the attempts, with the time, the attempts and the fingerprint that are left; it takes repeats from the
+ * budget, while the request itself is counted here. A helper that may have had the request run is followed by another
+ * one only where the route allows it, out of the budget.
+ */
+internal class RelayedRun(
+    private val handler: RequestHandler,
+    private val helpers: RelayHelpers,
+    private val links: UpstreamConnectionPool,
+    private val metrics: GatewayMetrics,
+    private val request: CallerRequest,
+    private val route: Route,
+    private val service: ServiceName,
+    private val report: RequestReport,
+) {
+    private val ticker = handler.ticker
+    private val deadline = request.deadline(route.timeout)
+    private val tried = HashSet<String>()
+
+    /**
+     * Runs the request until it has a final answer; null when no entry can help.
+     *
+     * @param evidence what attempts of this entry have shown
+     * @param attemptsLeft number of upstreams that the request may still be sent to
+     */
+    suspend fun run(evidence: ExecutionEvidence, attemptsLeft: Int): RequestResult? {
+        if (attemptsLeft < 1) return null
+        var result: RequestResult? = null
+        while (tried.size < MAX_HELPERS && ticker.now() < deadline) {
+            val helper = helpers.select(tried) ?: break
+            tried += helper.name
+            val reply = exchange(helper, attemptsLeft)
+            final(reply, evidence)?.let { return it }
+            result = interim(reply, evidence)
+            if (evidence.mayHaveRun && !mayRepeat()) break
+        }
+        return result
+    }
+
+    private suspend fun exchange(helper: PeerStatus, attemptsLeft: Int): AttemptResult? {
+        val sentAt = ticker.now()
+        val left = deadline - sentAt
+        val limit = if (route.kind.retryable && tried.size < MAX_HELPERS) left * FIRST_SHARE else left
+        val headers = RelayHeaders.of(Hop(request.fingerprint, attemptsLeft))
+        val outbound = UpstreamRequest(request, deadline, null, headers) {
+            handler.configurationAdmission.maySend(request.arrivedAt)
+        }
+        metrics.relayed(RelayEvent.SENT)
+        helpers.count(helper, 1)
+        val result = try {
+            withTimeoutOrNull(limit) { links.exchange(checkNotNull(helper.record.relay), outbound, MAX_IDLE) }
+        } finally {
+            helpers.count(helper, -1)
+        }
+        metrics.relayed(eventOf(result))
+        report.hops += "${helper.name}:${describe(result)}+${(ticker.now() - sentAt).inWholeMilliseconds}ms"
+        return result
+    }
+
+    /** The final answer that [reply] is; null when another helper may bring a better one. */
+    private fun final(reply: AttemptResult?, evidence: ExecutionEvidence): RequestResult? = when (reply) {
+        is AttemptResult.Answered -> {
+            evidence.mayHaveRun = true
+            if (reply.headers.contains(handler.headerNames.signature) || reply.status < FIRST_SERVER_ERROR) {
+                evidence.forward(reply)
+            } else {
+                evidence.uncertain(if (reply.status == GATEWAY_TIMEOUT) Outcome.TIMED_OUT else Outcome.LOST)
+            }
+        }
+        AttemptResult.Withheld -> {
+            val outcome = if (ticker.now() >= deadline) Outcome.EXPIRED else Outcome.BEHIND
+            evidence.refuse(outcome, RequestHandler.OTHER_ENTRY_RETRY_AFTER)
+        }
+        else -> null
+    }
+
+    /** The answer in case that [reply] is the last one. */
+    private fun interim(reply: AttemptResult?, evidence: ExecutionEvidence): RequestResult = when (reply) {
+        is AttemptResult.NotExecuted -> evidence.refuse(Outcome.HELPER_REFUSED, reply.notice.retryAfter ?: RETRY_AFTER)
+        is AttemptResult.Lost -> {
+            evidence.mayHaveRun = true
+            evidence.uncertain(if (ticker.now() >= deadline) Outcome.TIMED_OUT else Outcome.LOST)
+        }
+        null -> {
+            evidence.mayHaveRun = true
+            evidence.uncertain(Outcome.TIMED_OUT)
+        }
+        else -> evidence.refuse(Outcome.NOT_SENT, RETRY_AFTER)
+    }
+
+    private fun mayRepeat() = route.kind.retryable && handler.decisions.retryBudget.tryAcquire(service, ticker.now())
+
+    private fun eventOf(result: AttemptResult?) = when (result) {
+        is AttemptResult.Answered -> RelayEvent.ANSWERED
+        is AttemptResult.NotExecuted -> RelayEvent.REFUSED
+        AttemptResult.NotSent, AttemptResult.Withheld -> RelayEvent.NOT_SENT
+        is AttemptResult.Lost, null -> RelayEvent.LOST
+    }
+
+    private fun describe(result: AttemptResult?) =
+        if (result is AttemptResult.Answered) result.status.toString() else eventOf(result).name.lowercase()
+
+    private companion object {
+        const val MAX_HELPERS = 2
+        const val FIRST_SERVER_ERROR = 500
+        const val GATEWAY_TIMEOUT = 504
+
+        /** Share of the time that is left which the first helper gets, where a second one may follow. */
+        const val FIRST_SHARE = 0.6
+
+        /** A connection between entries that was idle for longer may have gone silent. */
+        val MAX_IDLE: Duration = 3.seconds
+        val RETRY_AFTER = 50.milliseconds
+    }
+}
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/AttemptFeedback.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/AttemptFeedback.kt
@@ -8,6 +8,7 @@
 import io.poplarwood.gateway.log.EventLog
 import io.poplarwood.gateway.log.GatewayEvent
 import io.poplarwood.gateway.peer.LoadGossip
+import io.poplarwood.gateway.reach.UpstreamReach
 import io.poplarwood.gateway.route.Route
 import io.poplarwood.gateway.upstream.AvailabilityInput
 import io.poplarwood.gateway.upstream.LoadReport
@@ -23,6 +24,7 @@
     private val availability: AvailabilityTracker,
     private val log: EventLog,
     private val droppedAnswers: DroppedAnswers,
+    private val reach: UpstreamReach,
 ) {
     /** Records that [attempt] of a request with [fingerprint] is sent, whose caller waits until [deadline]. */
     fun attemptStarted(attempt: Attempt, fingerprint: Long, deadline: Duration) =
@@ -39,6 +41,7 @@
         val row = attempt.row
         val now = checkNotNull(attempt.endedAt)
         if (attempt.result !is AttemptResult.Lost) crashes.attemptReplied(attempt, now)
+        recordReach(attempt)
         when (val result = attempt.result) {
             is AttemptResult.Answered -> onAnswered(attempt, result, route, fingerprint, now)
             is AttemptResult.NotExecuted -> onNotExecuted(attempt, result, now)
@@ -51,6 +54,18 @@
         }
     }
 
+    private fun recordReach(attempt: Attempt) {
+        val result = attempt.result
+        when {
+            result is AttemptResult.Answered || result is AttemptResult.NotExecuted ->
+                reach.attemptAnswered(attempt, attempt.row)
+            result is AttemptResult.NotSent -> reach.attemptFailed(attempt, attempt.row)
+            result is AttemptResult.Lost && result.cause == LossCause.CONNECTION_LOST ->
+                reach.attemptFailed(attempt, attempt.row)
+            else -> reach.attemptEnded(attempt, attempt.row)
+        }
+    }
+
     private fun onLost(attempt: Attempt, cause: LossCause, fingerprint: Long, now: Duration) {
         // Says nothing about the upstream, good or bad.
         if (cause == LossCause.NO_MEMORY) {
@@ -71,11 +86,16 @@
         }
 
     /** Records that another attempt of the request of [attempt] was answered. */
-    fun attemptNotNeeded(attempt: Attempt) = crashes.attemptNotNeeded(attempt)
+    fun attemptNotNeeded(attempt: Attempt) {
+        reach.attemptEnded(attempt, attempt.row)
+        crashes.attemptNotNeeded(attempt)
+    }
 
     /** Records that a request with [fingerprint] ended without an answer while [attempt] was running. */
-    fun attemptAbandoned(attempt: Attempt, fingerprint: Long, now: Duration) =
+    fun attemptAbandoned(attempt: Attempt, fingerprint: Long, now: Duration) {
+        reach.attemptAbandoned(attempt, attempt.row)
         crashes.requestAbandoned(attempt, fingerprint, now)
+    }
 
     private fun onAnswered(
         attempt: Attempt,
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/EntryState.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/EntryState.kt
@@ -48,6 +48,12 @@
 
     /** How other entries reach this one. */
     val record =
-        PeerRecord(settings.zone, settings.listen.callers, settings.listen.peers, EntryCapacity.of(settings.limits))
+        PeerRecord(
+            settings.zone,
+            settings.listen.callers,
+            settings.listen.peers,
+            EntryCapacity.of(settings.limits),
+            settings.listen.relay,
+        )
     val activeEntries = ActiveEntries(settings.entry, record, peers, ownEntry)
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -71,6 +71,7 @@
 
     /** Number of log lines of level `ERROR` so far; each of them is a fault of this code. */
     val errorCount: Long get() = runtime.metrics.errorCount
+    private val listeners get() = listOfNotNull(requests.callerListener, requests.relayListener)
     private val serving: Boolean
         get() = state.replica.state != null && state.upstreams.all.isNotEmpty() && !stopping
 
@@ -102,6 +103,7 @@
 
     private suspend fun openListeners() {
         requests.callerListener.start()
+        requests.relayListener?.start()
         listen(settings.listen.readiness, entryReplies::readiness)
         listen(settings.listen.directory, entryReplies::entries)
         listen(settings.listen.peers, peers::reply)
@@ -114,7 +116,7 @@
 
     /** Drains this entry within the grace period without aborting requests; see [GracefulStop]. */
     suspend fun stop() = withContext(runtime.scope.coroutineContext) {
-        GracefulStop(requests.requestHandler, requests.callerListener, ticker, log).run(bounds.graceS.seconds) {
+        GracefulStop(requests.requestHandler, listeners, ticker, log).run(bounds.graceS.seconds) {
             stopping = true
             peers.gossip.stopping = true
             peers.gossip.sendHeartbeats()
@@ -144,11 +146,11 @@
     }
 
     private fun ownEntry() =
-        ticker.now().let { OwnEntry(serving, it - createdAt, peers.loadGossip.requestsPerS(it)) }
+        ticker.now().let { OwnEntry(serving, it - createdAt, peers.loadGossip.requestsPerS(it), requests.reach.cutOff) }
 
     private suspend fun runProbes() {
         while (true) {
-            if (state.activeEntries.active) requests.loadProber.probeDueUpstreams(runtime.scope)
+            if (state.activeEntries.active && !requests.reach.cutOff) requests.loadProber.probeDueUpstreams(runtime.scope)
             if (state.activeEntries.active) delay(PROBE_INTERVAL) else peers.gossip.awaitTick()
         }
     }
@@ -163,6 +165,8 @@
             state.replica.checkExpiry()
             requests.crashDetector.tick(state.replica.confirmedAt)
             requests.upstreamConnections.closeExpired()
+            requests.reach.tick(state.activeEntries.hasCutOffNeighbor)
+            runtime.metrics.cutOffFrom(requests.reach.cutServices)
             delay(if (state.activeEntries.active || !serving) ACTIVE_TASK_INTERVAL else STANDBY_TASK_INTERVAL)
         }
     }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GracefulStop.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GracefulStop.kt
@@ -14,7 +14,7 @@
  */
 internal class GracefulStop(
     private val requestHandler: RequestHandler,
-    private val callerListener: CallerListener,
+    private val listeners: List<CallerListener>,
     private val ticker: Ticker,
     private val log: EventLog,
 ) {
@@ -27,22 +27,24 @@
         val startedAt = ticker.now()
         log.log(GatewayEvent.STOPPING, requestHandler.inFlight, grace.inWholeMilliseconds)
         announce()
-        callerListener.closesAfterResponse = true
+        listeners.forEach { it.closesAfterResponse = true }
         while (ticker.now() - startedAt < grace * REFUSE_NEW_AFTER_SHARE) {
             delay(POLL_INTERVAL)
-            if (ticker.now() - startedAt > grace * CLOSE_IDLE_AFTER_SHARE) callerListener.closeIdle()
+            if (ticker.now() - startedAt > grace * CLOSE_IDLE_AFTER_SHARE) closeIdle()
         }
         requestHandler.refusingNew = true
-        callerListener.close()
+        listeners.forEach { it.close() }
         while (ticker.now() - startedAt < grace - MARGIN && requestHandler.inFlight > 0) {
             delay(POLL_INTERVAL)
-            callerListener.closeIdle()
+            closeIdle()
         }
         requestHandler.finishAll()
         delay(POLL_INTERVAL * 2)
         log.log(GatewayEvent.STOPPED, requestHandler.inFlight, (ticker.now() - startedAt).inWholeMilliseconds)
     }
 
+    private fun closeIdle() = listeners.forEach { it.closeIdle() }
+
     private companion object {
         val POLL_INTERVAL = 20.milliseconds
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Outcome.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Outcome.kt
@@ -21,6 +21,7 @@
     RATE_LIMITED("rate-limited", 503, GatewayEvent.REFUSED),
     FULL("full", 503, GatewayEvent.REFUSED),
     SHED("shed", 503, GatewayEvent.REFUSED),
+    HELPER_REFUSED("helper-refused", 503, GatewayEvent.REFUSED),
     NOT_SENT("not-sent", 503, GatewayEvent.REFUSED),
     CRASHES("crashes", 503, GatewayEvent.REFUSED),
     EXPIRED("expired", 503, GatewayEvent.REFUSED),
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/PeerServices.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/PeerServices.kt
@@ -6,9 +6,15 @@
 import io.poplarwood.gateway.peer.LoadGossip
 import io.poplarwood.gateway.peer.PeerGossip
 import io.poplarwood.gateway.peer.PeerSocket
+import io.poplarwood.gateway.peer.PeerStatus
+import io.poplarwood.gateway.reach.ReachQueries
 import io.poplarwood.gateway.settings.GatewaySettings
 import io.poplarwood.gateway.store.StateStore
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -79,6 +85,7 @@
         runtime.log,
         runtime.metrics,
     )
+    private val reachQueries = ReachQueries(state.upstreams, ticker)
     private val crashRecords = CrashRecordStore(store, gossip.crashGossip, runtime.scope, runtime.log)
     val registration =
         EntryRegistration(
@@ -105,7 +112,16 @@
 
     /** The reply to a request of another entry for [target]. */
     suspend fun reply(target: String): InternalReply =
-        stateExchange.reply(target)?.let { InternalReply(OK, CBOR, it) } ?: InternalReply(NOT_FOUND, TEXT, ByteArray(0))
+        (stateExchange.reply(target) ?: reachQueries.reply(target))?.let { InternalReply(OK, CBOR, it) }
+            ?: InternalReply(NOT_FOUND, TEXT, ByteArray(0))
+
+    /** Which of the upstreams [ids] have answered one of [witnesses] within [within] before now. */
+    suspend fun answeringOthers(witnesses: List<PeerStatus>, ids: List<String>, within: Duration): Set<String> =
+        coroutineScope {
+            val path = reachQueries.path(ids, within)
+            witnesses.map { async { reachQueries.parse(callPeer(it.record.peers, path)) } }.awaitAll()
+                .flatMapTo(HashSet()) { it }
+        }
 
     private fun sendLoad(near: Boolean) {
         val updates = if (near) loadGossip.drainOwnZone() else loadGossip.drainOtherZones()
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestHandler.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestHandler.kt
@@ -1,14 +1,18 @@
 package io.poplarwood.gateway.runtime
 
+import io.poplarwood.api.id.ServiceName
 import io.poplarwood.api.time.Ticker
 import io.poplarwood.gateway.decision.crash.CrashVerdict
 import io.poplarwood.gateway.http.CallerRequest
 import io.poplarwood.gateway.http.CallerResponse
+import io.poplarwood.gateway.http.HeaderNames
 import io.poplarwood.gateway.http.UpstreamConnectionPool
 import io.poplarwood.gateway.log.EventLog
 import io.poplarwood.gateway.log.GatewayEvent
 import io.poplarwood.gateway.metrics.GatewayMetrics
 import io.poplarwood.gateway.peer.LoadGossip
+import io.poplarwood.gateway.reach.UpstreamReach
+import io.poplarwood.gateway.relay.RelayPath
 import io.poplarwood.gateway.route.Route
 import io.poplarwood.gateway.store.StateReplica
 import kotlinx.coroutines.CancellationException
@@ -26,6 +30,9 @@
     val metrics: GatewayMetrics,
     val attemptFeedback: AttemptFeedback,
     val configurationAdmission: ConfigurationAdmission,
+    val headerNames: HeaderNames,
+    val reach: UpstreamReach,
+    private val relayPath: RelayPath,
     private val requestLog: RequestLog,
     private val log: EventLog,
 ) {
@@ -47,6 +54,10 @@
         activeRuns.toList().forEach { it.finishNow() }
     }
 
+    /** Sends requests for [service] that wait for upstreams on by way of other entries, where that is allowed. */
+    fun pathLost(service: ServiceName) =
+        activeRuns.filter { it.service == service }.forEach { it.pathLost() }
+
     /** Processes [request] and returns its final answer. */
     suspend fun serve(request: CallerRequest): CallerResponse {
         inFlight++
@@ -93,15 +104,37 @@
         report.service = service.value
         report.fingerprint = request.fingerprint
         val now = ticker.now()
-        decisions.retryBudget.recordRequest(service, now)
+        // The first entry has counted a request that comes by way of it.
+        if (request.hop == null) decisions.retryBudget.recordRequest(service, now)
         val verdict = attemptFeedback.crashVerdict(request.fingerprint, now)
         if (verdict != CrashVerdict.ADMITTED) return refuse(report, Outcome.CRASHES, retryAfterOf(verdict))
+        val result = runHereOrElsewhere(request, route, service, report)
+        report.outcome = result.outcome
+        return result.answer
+    }
+
+    private suspend fun runHereOrElsewhere(
+        request: CallerRequest,
+        route: Route,
+        service: ServiceName,
+        report: RequestReport,
+    ): RequestResult {
+        val mayHop = request.hop == null
+        if (mayHop && reach.isCut(service)) {
+            val elsewhere = relayPath.runOf(this, request, route, service, report)
+            elsewhere.run(ExecutionEvidence(), route.maxAttempts)?.let { return it }
+        }
         val run = RequestRun(this, request, route, service, report)
+        val result = runHere(run)
+        if (!mayHop || !run.mayRunElsewhere(result)) return result
+        val elsewhere = relayPath.runOf(this, request, route, service, report)
+        return elsewhere.run(run.evidence, run.attemptsLeft) ?: result
+    }
+
+    private suspend fun runHere(run: RequestRun): RequestResult {
         activeRuns += run
         try {
-            val result = run.run()
-            report.outcome = result.outcome
-            return result.answer
+            return run.run()
         } finally {
             activeRuns -= run
         }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestLog.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestLog.kt
@@ -44,7 +44,7 @@
         (now - report.arrivedAt).inWholeMilliseconds,
         report.queuedFor.inWholeMilliseconds,
         report.attempts.size,
-        report.attempts.joinToString(" ") { it.describe() },
+        (report.attempts.map { it.describe() } + report.hops.map { "via=$it" }).joinToString(" "),
         report.stateVersion,
         java.lang.Long.toHexString(report.fingerprint),
         report.confirmedMs,
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestPath.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestPath.kt
@@ -1,5 +1,6 @@
 package io.poplarwood.gateway.runtime
 
+import io.poplarwood.api.id.ServiceName
 import io.poplarwood.api.id.Zone
 import io.poplarwood.gateway.adapter.Adapter
 import io.poplarwood.gateway.decision.Placement
@@ -11,6 +12,11 @@
 import io.poplarwood.gateway.http.EntryHttpClient
 import io.poplarwood.gateway.http.UpstreamConnectionPool
 import io.poplarwood.gateway.peer.ProbeAssignment
+import io.poplarwood.gateway.reach.UpstreamReach
+import io.poplarwood.gateway.relay.RelayEvent
+import io.poplarwood.gateway.relay.RelayHelpers
+import io.poplarwood.gateway.relay.RelayPath
+import io.poplarwood.gateway.relay.RelayReplies
 import io.poplarwood.gateway.route.CallerLimits
 import io.poplarwood.gateway.route.SplitPicker
 import io.poplarwood.gateway.settings.Bounds
@@ -51,11 +57,13 @@
         state.crashSuspects,
         queueTimer::start,
     )
+    private val answerMemory = BodyMemoryBudget(bodyMemoryBytes)
+    private val bodyMemory = BodyMemoryBudget(bodyMemoryBytes)
     val upstreamConnections = UpstreamConnectionPool(
         runtime.eventLoopGroup,
         adapter.headerNames,
         ticker,
-        BodyMemoryBudget(bodyMemoryBytes),
+        answerMemory,
         upstreamPath,
         runtime.metrics::connectionOpened,
     )
@@ -71,6 +79,22 @@
         runtime.log,
         settings.store.registrationExpiry,
     )
+    private val relayPath = RelayPath(
+        RelayHelpers(settings.zone, state.peers, runtime.random),
+        UpstreamConnectionPool(runtime.eventLoopGroup, adapter.headerNames, ticker, answerMemory),
+        runtime.metrics,
+    )
+    val reach: UpstreamReach = UpstreamReach(
+        state.upstreams,
+        upstreamConnections::tryConnect,
+        { ids, within -> peers.answeringOthers(relayPath.helpers.witnesses(WITNESSES), ids, within) },
+        runtime.random,
+        ticker,
+        runtime.scope,
+        runtime.log,
+        ::pathLost,
+        peers.gossip::sendHeartbeats,
+    )
     val loadProber = LoadProber(
         state.upstreams,
         ProbeSelector { bounds().probesPerS },
@@ -85,7 +109,7 @@
         ticker,
         upstreamPath,
     )
-    val requestHandler = RequestHandler(
+    val requestHandler: RequestHandler = RequestHandler(
         state.replica,
         decisions,
         upstreamConnections,
@@ -99,8 +123,12 @@
             state.availability,
             runtime.log,
             DroppedAnswers(runtime.log, runtime.metrics, bodyMemoryBytes),
+            reach,
         ),
         ConfigurationAdmission(state.replica.freshness, ticker, { peers.gossip.storeAway }) { bounds().changeS.seconds },
+        adapter.headerNames,
+        reach,
+        relayPath,
         RequestLog(runtime.log, runtime.metrics, ticker),
         runtime.log,
     )
@@ -110,11 +138,36 @@
         runtime.scope,
         ticker,
         adapter.headerNames,
-        BodyMemoryBudget(bodyMemoryBytes),
+        bodyMemory,
         { state.replica.state?.limits ?: CallerLimits() },
         { host, target -> state.replica.routes.find(host, target)?.kind?.retryable ?: false },
-        requestHandler::serve,
+        serve = requestHandler::serve,
     )
+    private val relayReplies = RelayReplies(
+        adapter.headerNames,
+        { peers.loadGossip.requestsPerS(ticker.now()) > state.record.capacity },
+    ) {
+        runtime.metrics.relayed(RelayEvent.RECEIVED)
+        requestHandler.serve(it)
+    }
+
+    /** Takes requests of other entries; null where the settings name no address. */
+    val relayListener: CallerListener? = settings.listen.relay?.let { address ->
+        CallerListener(
+            runtime.eventLoopGroup,
+            address,
+            runtime.scope,
+            ticker,
+            adapter.headerNames,
+            bodyMemory,
+            { state.replica.state?.limits ?: CallerLimits() },
+            { _, _ -> true },
+            fromEntries = true,
+            serve = relayReplies::reply,
+        )
+    }
+
+    private fun pathLost(service: ServiceName) = requestHandler.pathLost(service)
 
     /** Assigns free slots to queued requests; returns true while any remain queued. */
     fun dispatchQueued(): Boolean {
@@ -125,5 +178,8 @@
     private companion object {
         /** Limit on buffered request bodies, and separately on buffered answers, per megabyte of the VM's memory. */
         const val BODY_BYTES_PER_MB = 100L * 1024
+
+        /** Entries that are asked which upstreams answer. */
+        const val WITNESSES = 3
     }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestReport.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestReport.kt
@@ -18,6 +18,9 @@
     /** Staleness of the configuration when the request was last sent, or judged, in milliseconds; null if unknown. */
     var confirmedMs: Long? = null
     val attempts = ArrayList<Attempt>(2)
+
+    /** The entries by way of which the request was sent, and what became of that, for the log. */
+    val hops = ArrayList<String>(0)
     var outcome: Outcome = Outcome.FAILED
     var status: Int = 0
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
@@ -34,12 +34,13 @@
     private val handler: RequestHandler,
     private val request: CallerRequest,
     private val route: Route,
-    private val service: ServiceName,
+    val service: ServiceName,
     private val report: RequestReport,
 ) {
     private val ticker = handler.ticker
     private val decisions = handler.decisions
-    private val deadline = request.arrivedAt + minOf(request.timeout ?: route.timeout, route.timeout)
+    private val deadline = request.deadline(route.timeout)
+    private val maxAttempts = minOf(route.maxAttempts, request.hop?.attemptsLeft ?: route.maxAttempts)
     private val targetAt = request.arrivedAt + route.target * TARGET_SHARE
     private val job: RequestEstimate get() = RequestEstimate(decisions.workTimes.mean(route), request.body.size)
     private val secondAttempts = SecondAttempts(decisions, route, service, targetAt)
@@ -51,7 +52,14 @@
     private var connectFailures = 0
     private var finishRequested = false
     private var answered = false
-    private val evidence = ExecutionEvidence()
+    private var pathLost = false
+    private var handedOver = false
+
+    /** What the attempts so far have shown. */
+    val evidence = ExecutionEvidence()
+
+    /** Number of upstreams that this request may still be sent to. */
+    val attemptsLeft: Int get() = maxAttempts - sentCount
 
     /** Ends the request at once with the best answer known so far. */
     fun finishNow() {
@@ -59,6 +67,19 @@
         wakeUp.trySend(Unit)
     }
 
+    /** Ends the request here if it may be sent on by way of another entry, because this one cannot reach upstreams. */
+    fun pathLost() {
+        pathLost = true
+        wakeUp.trySend(Unit)
+    }
+
+    /** Whether this request, which ended here with [result], may be sent on by way of another entry. */
+    fun mayRunElsewhere(result: RequestResult): Boolean = handedOver || when (result.outcome) {
+        Outcome.NOT_SENT -> handler.reach.othersMayReach(service)
+        Outcome.NO_UPSTREAM -> handler.reach.isCut(service)
+        else -> false
+    }
+
     /** Runs the request until it has a final answer. */
     suspend fun run(): RequestResult = coroutineScope {
         try {
@@ -104,6 +125,10 @@
             releaseSlot(row)
             return evidence.refuse(Outcome.BEHIND, RequestHandler.OTHER_ENTRY_RETRY_AFTER)
         }
+        if (request.hop == null && handler.reach.isCut(service)) {
+            releaseSlot(row)
+            return evidence.refuse(Outcome.NOT_SENT, DEFAULT_RETRY_AFTER)
+        }
         startAttempt(row)
         return null
     }
@@ -119,12 +144,23 @@
             }
             val now = ticker.now()
             if (now >= deadline || finishRequested) return finishUnanswered()
+            if (pathLost) handOver()?.let { return it }
             val wakeAt = minOf(deadline, nextSecondAttemptCheck(now))
             withTimeoutOrNull(wakeAt - now) { wakeUp.receive() }
             if (finishedAttempts.isEmpty()) considerSecondAttempt()
         }
     }
 
+    /** Gives up the attempts at upstreams that this entry cannot reach, if the request may be sent once more. */
+    private fun handOver(): RequestResult? {
+        pathLost = false
+        val allowed = request.hop == null && route.kind.retryable && attemptsLeft > 0
+        if (!allowed || !decisions.retryBudget.tryAcquire(service, ticker.now())) return null
+        handedOver = true
+        evidence.mayHaveRun = true
+        return evidence.uncertain(Outcome.LOST)
+    }
+
     /** Handles an attempt that ended; returns null while the request continues. */
     private suspend fun CoroutineScope.onAttemptEnded(attempt: Attempt): RequestResult? =
         when (val result = checkNotNull(attempt.result)) {
@@ -167,6 +203,7 @@
     private suspend fun CoroutineScope.retry(reason: RetryReason): RequestResult? {
         if (runningAttempts.isNotEmpty() || !mayRetry()) return null
         val exemptFromBudget = reason == RetryReason.NOT_SENT
+        if (exemptFromBudget && request.hop == null && handler.reach.othersMayReach(service)) return null
         val now = ticker.now()
         if (!exemptFromBudget && !decisions.retryBudget.tryAcquire(service, now)) return null
         val decision = withTimeoutOrNull(deadline - now) { awaitSlot() } as? SlotDecision.Granted ?: return null
@@ -188,7 +225,7 @@
         return earliestUsableAt?.takeIf { it > now }?.let { it - now }
     }
 
-    private fun mayRetry() = sentCount < route.maxAttempts && connectFailures < MAX_CONNECT_FAILURES &&
+    private fun mayRetry() = sentCount < maxAttempts && connectFailures < MAX_CONNECT_FAILURES &&
         ticker.now() < deadline && crashVerdict() == CrashVerdict.ADMITTED
 
     private inline fun ifNothingRuns(result: () -> RequestResult): RequestResult? =
@@ -212,7 +249,16 @@
 
     private suspend fun awaitSlot(): SlotDecision = suspendCancellableCoroutine { continuation ->
         val slot =
-            SlotRequest(service, route.priority, request.arrivedAt, job, targetAt, deadline, triedUpstreams) {
+            SlotRequest(
+                service,
+                route.priority,
+                request.arrivedAt,
+                job,
+                targetAt,
+                deadline,
+                triedUpstreams,
+                relayed = request.hop != null,
+            ) {
                 continuation.resume(it) { _, value, _ -> if (value is SlotDecision.Granted) releaseSlot(value.row) }
             }
         continuation.invokeOnCancellation { slot.cancelled = true }
@@ -233,6 +279,7 @@
         sentCount++
         handler.loadBoard.scheduleUpdate(row)
         handler.attemptFeedback.attemptStarted(attempt, request.fingerprint, deadline)
+        handler.reach.attemptStarted(attempt, row, job.serviceTime)
         launch {
             try {
                 val outbound = UpstreamRequest(request, deadline, row.id) {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/settings/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/settings/GatewaySettings.kt
@@ -31,6 +31,8 @@
  * @property readiness replies to checks whether this entry takes requests
  * @property directory replies to callers that query for the entries to use
  * @property peers exchanges messages with other entries, over TCP and UDP
+ * @property relay serves requests that other entries send on because they cannot reach upstreams; null where this entry
+ * does not
  * @property metrics serves metrics in the Prometheus text format
  */
 @Serializable
@@ -40,6 +42,7 @@
     val directory: String,
     val peers: String,
     val metrics: String,
+    val relay: String? = null,
 )
 
 /**
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/settings/GatewaySettingsReader.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/settings/GatewaySettingsReader.kt
@@ -42,12 +42,13 @@
 
     private fun validate(settings: GatewaySettings): List<String> = buildList {
         val listen = settings.listen
-        val addresses = mapOf(
+        val addresses = listOfNotNull(
             "listen.callers" to listen.callers,
             "listen.readiness" to listen.readiness,
             "listen.directory" to listen.directory,
             "listen.peers" to listen.peers,
             "listen.metrics" to listen.metrics,
+            listen.relay?.let { "listen.relay" to it },
             "store.address" to settings.store.address,
         )
         for ((path, value) in addresses) {
