--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/CallerConnection.kt
@@ -129,7 +129,8 @@
     private suspend fun run(exchange: PipelinedExchange) {
         val request = checkNotNull(exchange.request)
         try {
-            exchange.answer = listener.serve(request.toCallerRequest(listener.names, callerAddress(context), listener.fromEntries))
+            exchange.answer =
+                listener.serve(request.toCallerRequest(listener.names, callerAddress(context), listener.fromEntries))
         } finally {
             releaseMemory(request)
         }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/ActiveEntries.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/ActiveEntries.kt
@@ -83,7 +83,14 @@
     }
 
     private fun ownCandidate(): ActiveCandidate? = own().takeIf { it.serving }?.let {
-        ActiveCandidate(self, record.callers, it.uptime >= PeerStatus.WARM_UP_TIME, record.capacity, it.requestsPerS, it.cutOff)
+        ActiveCandidate(
+            self,
+            record.callers,
+            it.uptime >= PeerStatus.WARM_UP_TIME,
+            record.capacity,
+            it.requestsPerS,
+            it.cutOff,
+        )
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
@@ -13,10 +13,8 @@
 import io.poplarwood.gateway.store.StoreVersion
 import io.poplarwood.gateway.store.Topic
 import kotlinx.coroutines.CompletableDeferred
-import java.util.EnumSet
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * Sends the state of this entry to other entries and merges what they send.
@@ -52,10 +50,14 @@
     /** Whether a planned stop of this entry has begun. */
     var stopping: Boolean = false
 
+    private val answers = StoreAnswers(table, ticker)
+
     /** Whether the store answered the last call of this entry for each topic. */
-    val storeAnswers: Boolean get() = unansweredTopics.isEmpty()
+    val storeAnswers: Boolean get() = answers.toThisEntry
+
+    /** Whether the store is known to answer nobody that this entry hears of about the desired state. */
+    val storeAway: Boolean get() = answers.away
 
-    private val unansweredTopics = EnumSet.noneOf(Topic::class.java)
     private val followerSelection = FollowerSelection(self, record.zone)
 
     /** Since when a newer desired state has been arriving from the store; null while none is. */
@@ -75,24 +77,8 @@
     var requestSync: () -> Unit = {}
     private var announcedVersions = ConfigurationVersion.NONE to StoreVersion.NONE
 
-    /** When the store last answered any entry, as far as this entry knows. */
-    private var storeAnsweredAt = -Duration.INFINITE
-    private val storeAnsweredLately: Boolean get() = ticker.now() - storeAnsweredAt < LATELY
-
-    /** When the store last answered any entry about the desired state, as far as this entry knows. */
-    private var stateAnsweredAt = -Duration.INFINITE
-    private var stateCallFailed = false
-
-    /**
-     * Whether the store is known to answer nobody about the desired state: it did not answer this entry or one that this
-     * entry hears of, and none has had an answer lately.
-     */
-    val storeAway: Boolean
-        get() = ticker.now() - stateAnsweredAt > LATELY &&
-            (stateCallFailed || table.live.any { it.hello?.storeAnswers == false })
-
     override val pacing: QueryPacing
-        get() = QueryPacing(table.all.size + 1, roles.active, storeAnsweredLately, readsPerSecond)
+        get() = QueryPacing(table.all.size + 1, roles.active, answers.lately, readsPerSecond)
 
     private var nextTick = CompletableDeferred<Unit>()
 
@@ -201,31 +187,20 @@
         if (stopping) return FollowMode.NONE
         val now = ticker.now()
         val staleness = now - if (topic == Topic.DESIRED_STATE) book.freshness.confirmedAt else book.confirmedAt
-        return followerSelection.mode(table.live, roles.active, storeAnswers, now, staleness, storeAnsweredLately)
+        return followerSelection.mode(table.live, roles.active, storeAnswers, now, staleness, answers.lately)
     }
 
     override fun rowsArriving(topic: Topic, arriving: Boolean) {
-        if (arriving) storeAnsweredAt = ticker.now()
-        if (topic != Topic.DESIRED_STATE) return
-        if (arriving) stateAnswered(ticker.now())
-        readingSince = if (arriving) ticker.now() else null
+        if (arriving) answers.arriving(topic)
+        if (topic == Topic.DESIRED_STATE) readingSince = if (arriving) ticker.now() else null
     }
 
     override fun storeAnswered(topic: Topic, answered: Boolean) {
-        val changed = if (answered) unansweredTopics.remove(topic) else unansweredTopics.add(topic)
-        if (changed) heartbeatDue = true
-        if (!answered) return
-        storeAnsweredAt = ticker.now()
-        if (topic == Topic.DESIRED_STATE) stateAnswered(ticker.now())
-    }
-
-    private fun stateAnswered(at: Duration) {
-        stateAnsweredAt = at
-        stateCallFailed = false
+        if (answers.record(topic, answered)) heartbeatDue = true
     }
 
     override fun storeFailed(topic: Topic, late: Boolean) {
-        if (topic == Topic.DESIRED_STATE && !late) stateCallFailed = true
+        if (!late) answers.failed(topic)
     }
 
     override fun version(topic: Topic): StoreVersion =
@@ -270,14 +245,11 @@
     private fun compareVersions(hello: PeerMessage.Hello) {
         book.observe(maxOf(hello.upstreamVersion, hello.stateAccepted))
         if (hello.upstreamVersion <= book.coveredVersion) book.advanceCoveredVersion(hello.coveredVersion)
-        val answerAge = if (hello.readingMs > 0) 0 else minOf(hello.confirmedMs, hello.stateConfirmedMs)
-        val sentAt = sentAt(hello)
-        storeAnsweredAt = maxOf(storeAnsweredAt, (sentAt ?: ticker.now()) - answerAge.milliseconds)
+        val sentAt = table.sentAt(hello)
+        answers.heard(hello, sentAt)
         val lacksUpstreams = hello.upstreamVersion > book.upstreamVersion
         if (!lacksUpstreams && sentAt != null) book.confirm(sentAt - hello.confirmedMs.milliseconds)
         val stateConfirmedAt = sentAt?.let { it - hello.stateConfirmedMs.milliseconds } ?: -Duration.INFINITE
-        val answeredAt = if (hello.readingMs > 0) sentAt ?: -Duration.INFINITE else stateConfirmedAt
-        stateAnsweredAt = maxOf(stateAnsweredAt, answeredAt)
         // What the sender knows of the store changes nothing here: this entry has no older desired state than it.
         if (hello.stateVersion <= book.stateVersion) book.freshness.accept(hello.stateAccepted)
         val inForce = hello.stateVersion.row
@@ -285,9 +257,6 @@
         if (lacksUpstreams || hello.stateVersion > book.stateVersion) requestSync()
     }
 
-    /** When [hello] was sent, at the latest; null when its sender's clock is not known well enough. */
-    private fun sentAt(hello: PeerMessage.Hello): Duration? = hello.sentMs?.let { table[hello.from]?.clock?.sentAt(it) }
-
     /**
      * Handles an entry that became active: entries of its zone send it a heartbeat, a standby entry of another zone
      * forwards [hello] to the active entries of its own zone.
@@ -316,9 +285,4 @@
         val to = if (sender.active) table.liveInZone(record.zone) else table.live
         send(PeerMessage.UpstreamUpdate(self, update.after, update.rows), (to - sender).map { it.record.peers })
     }
-
-    private companion object {
-        /** A store that did not answer any entry for this long counts as unavailable to all. */
-        val LATELY = 1.seconds
-    }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
@@ -55,8 +55,8 @@
      * @property crashes digest of the crash records that the sender has
      * @property readingMs time for which a newer desired state has been arriving at the sender from the store, in
      * milliseconds; 0 while none is
-     * @property sentMs reading of the sender's clock when it sent this heartbeat, in milliseconds; null when it does not
-     * say
+     * @property sentMs reading of the sender's clock when it sent this heartbeat, in milliseconds; null when it does
+     * not say
      * @property relay `ip:port` for requests that other entries send on; null where the sender takes none
      * @property cutOff whether the sender cannot reach upstreams that others reach, or could not until lately
      * @property load the first part of the load that comes with this heartbeat; null where the receiver takes no
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerTable.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerTable.kt
@@ -38,6 +38,9 @@
         return peer.silent.also { peer.silent = false }
     }
 
+    /** When [hello] was sent, at the latest; null when its sender's clock is not known well enough. */
+    fun sentAt(hello: PeerMessage.Hello): Duration? = hello.sentMs?.let { this[hello.from]?.clock?.sentAt(it) }
+
     /**
      * Marks the peers whose timeout has passed as silent and returns them. Removes silent peers that were last seen
      * more than [RETENTION] ago.
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/reach/ReachQueries.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/reach/ReachQueries.kt
@@ -24,7 +24,9 @@
         val parts = path.removePrefix(PREFIX).split('/')
         val since = ticker.now() - (parts[0].toLongOrNull() ?: return null).milliseconds
         val ids = parts.getOrNull(1)?.split(',')?.take(MAX_IDS)?.map { URLDecoder.decode(it, UTF_8) } ?: return null
-        val answering = ids.filter { id -> upstreams[id]?.let { maxOf(it.lastAnswerAt, it.slownessAt) > since } ?: false }
+        val answering = ids.filter { id ->
+            upstreams[id]?.let { maxOf(it.lastAnswerAt, it.slownessAt) > since } ?: false
+        }
         return Cbor.encodeToByteArray(answering)
     }
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/reach/ReturnPacing.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/reach/ReturnPacing.kt
@@ -4,8 +4,8 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * When an entry whose path is whole again takes callers again: after a pause that doubles each time that the path is cut
- * soon after, so that a path that comes and goes does not move callers to and fro.
+ * When an entry whose path is whole again takes callers again: after a pause that doubles each time that the path is
+ * cut soon after, so that a path that comes and goes does not move callers to and fro.
  */
 internal class ReturnPacing {
     private var pause = MIN_PAUSE
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/reach/ServicePath.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/reach/ServicePath.kt
@@ -65,7 +65,9 @@
     fun isSuspect(now: Duration): Boolean {
         failed.values.removeIf { now - it > MEMORY }
         if (failed.size >= MIN_UPSTREAMS) return true
-        val overdue = pending.values.filter { it.dueAt < now && it.sentAt > answeredAt }.mapTo(HashSet()) { it.upstream }
+        val overdue = pending.values.filter {
+            it.dueAt < now && it.sentAt > answeredAt
+        }.mapTo(HashSet()) { it.upstream }
         return (overdue + failed.keys).size >= MIN_UPSTREAMS
     }
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/reach/UpstreamReach.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/reach/UpstreamReach.kt
@@ -24,7 +24,8 @@
  *
  * When several upstreams in a row fail this entry, it tries to connect to some. It is cut off when it reaches none of
  * them while others get answers from the same upstreams meanwhile. Upstreams that are dead or slow fail the others as
- * well, and a path that is cut in part still brings answers. While it is cut off, checks find out when the path is whole.
+ * well, and a path that is cut in part still brings answers. While it is cut off, checks find out when the path is
+ * whole.
  *
  * @param tryConnect tries to open a connection to an `ip:port`
  * @param answeringOthers which of the upstreams answered another entry within the given time before now
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/relay/RelayedRun.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/relay/RelayedRun.kt
@@ -21,9 +21,9 @@
 /**
  * Executes one request by way of other entries, because this one cannot reach the upstreams of [service].
  *
- * The helper makes the attempts, with the time, the attempts and the fingerprint that are left; it takes repeats from the
- * budget, while the request itself is counted here. A helper that may have had the request run is followed by another
- * one only where the route allows it, out of the budget.
+ * The helper makes the attempts, with the time and the attempts that are left and the fingerprint of the caller's
+ * request; it takes repeats from the budget, while the request itself is counted here. A helper that may have had the
+ * request run is followed by another one only where the route allows it, out of the budget.
  */
 internal class RelayedRun(
     private val handler: RequestHandler,
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Decisions.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Decisions.kt
@@ -51,4 +51,12 @@
     fun dispatchQueued(now: Duration) {
         for (queue in queues.values) if (queue.size > 0) queue.dispatch(now)
     }
+
+    /**
+     * Time until an upstream of [service] may be given work; null if one may be now, or if no such time is known.
+     */
+    fun timeUntilAvailable(service: ServiceName, now: Duration): Duration? {
+        val earliestUsableAt = placement.earliestUsableAt(upstreams.of(service), emptySet(), now)
+        return earliestUsableAt?.takeIf { it > now }?.let { it - now }
+    }
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/FreshnessPolicy.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/FreshnessPolicy.kt
@@ -6,9 +6,9 @@
 /**
  * Decides what an entry whose configuration may be old does with a request.
  *
- * A configuration may have been replaced at any time since it was last confirmed to be the newest. So it serves requests
- * that arrived within the bound after that, whoever has told of a newer one and whenever that was read. Beyond the
- * bound it serves only while the store answers nobody and no entry is known to have a newer one.
+ * A configuration may have been replaced at any time since it was last confirmed to be the newest. So it serves
+ * requests that arrived within the bound after that, whoever has told of a newer one and whenever that was read. Beyond
+ * the bound it serves only while the store answers nobody and no entry is known to have a newer one.
  */
 internal object FreshnessPolicy {
     /**
@@ -32,8 +32,8 @@
 
     /**
      * Whether a request that arrived [waited] ago may be sent to an upstream under its route now. The rules judge a
-     * request by when its caller sent it, so one that has waited may be sent under a configuration that has since become
-     * too old for new ones.
+     * request by when its caller sent it, so one that has waited may be sent under a configuration that has become too
+     * old for new ones since.
      */
     fun maySend(waited: Duration, age: ConfigurationAge, storeAway: Boolean, changeBound: Duration): Boolean =
         age.staleness - waited <= changeBound || (storeAway && age.overtakenSince == null)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -150,7 +150,11 @@
 
     private suspend fun runProbes() {
         while (true) {
-            if (state.activeEntries.active && !requests.reach.cutOff) requests.loadProber.probeDueUpstreams(runtime.scope)
+            if (state.activeEntries.active &&
+                !requests.reach.cutOff
+            ) {
+                requests.loadProber.probeDueUpstreams(runtime.scope)
+            }
             if (state.activeEntries.active) delay(PROBE_INTERVAL) else peers.gossip.awaitTick()
         }
     }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestPath.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestPath.kt
@@ -125,7 +125,9 @@
             DroppedAnswers(runtime.log, runtime.metrics, bodyMemoryBytes),
             reach,
         ),
-        ConfigurationAdmission(state.replica.freshness, ticker, { peers.gossip.storeAway }) { bounds().changeS.seconds },
+        ConfigurationAdmission(state.replica.freshness, ticker, {
+            peers.gossip.storeAway
+        }) { bounds().changeS.seconds },
         adapter.headerNames,
         reach,
         relayPath,
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
@@ -116,7 +116,7 @@
      * and another entry may have a newer configuration.
      */
     private fun CoroutineScope.startOrRefuse(row: UpstreamRow): RequestResult? {
-        val verdict = crashVerdict()
+        val verdict = crashVerdict
         if (verdict != CrashVerdict.ADMITTED) {
             releaseSlot(row)
             return evidence.refuse(Outcome.CRASHES, RequestHandler.retryAfterOf(verdict))
@@ -133,7 +133,7 @@
         return null
     }
 
-    private fun crashVerdict() = handler.attemptFeedback.crashVerdict(request.fingerprint, ticker.now())
+    private val crashVerdict get() = handler.attemptFeedback.crashVerdict(request.fingerprint, ticker.now())
 
     private suspend fun CoroutineScope.awaitAttempts(): RequestResult {
         while (true) {
@@ -195,19 +195,24 @@
 
     private suspend fun CoroutineScope.onNotExecuted(result: AttemptResult.NotExecuted): RequestResult? {
         val reason = if (result.cause == NotExecutedCause.SHED) RetryReason.SHED else RetryReason.OTHER_UPSTREAM
-        return retry(reason)
-            ?: ifNothingRuns { evidence.refuse(Outcome.SHED, timeUntilAvailable() ?: SHED_RETRY_AFTER) }
+        return retry(reason) ?: ifNothingRuns {
+            val availableAfter = decisions.timeUntilAvailable(service, ticker.now())
+            evidence.refuse(Outcome.SHED, availableAfter ?: SHED_RETRY_AFTER)
+        }
     }
 
     /** Starts a further attempt if one is allowed and an upstream has a slot. Always returns null. */
     private suspend fun CoroutineScope.retry(reason: RetryReason): RequestResult? {
         if (runningAttempts.isNotEmpty() || !mayRetry()) return null
-        val exemptFromBudget = reason == RetryReason.NOT_SENT
-        if (exemptFromBudget && request.hop == null && handler.reach.othersMayReach(service)) return null
         val now = ticker.now()
-        if (!exemptFromBudget && !decisions.retryBudget.tryAcquire(service, now)) return null
+        val allowed = if (reason == RetryReason.NOT_SENT) {
+            request.hop != null || !handler.reach.othersMayReach(service)
+        } else {
+            decisions.retryBudget.tryAcquire(service, now)
+        }
+        if (!allowed) return null
         val decision = withTimeoutOrNull(deadline - now) { awaitSlot() } as? SlotDecision.Granted ?: return null
-        if (crashVerdict() != CrashVerdict.ADMITTED) {
+        if (crashVerdict != CrashVerdict.ADMITTED) {
             releaseSlot(decision.row)
             return null
         }
@@ -216,17 +221,8 @@
         return null
     }
 
-    /**
-     * Time until an upstream of the service may be given work; null if one may be now, or if no such time is known.
-     */
-    private fun timeUntilAvailable(): Duration? {
-        val now = ticker.now()
-        val earliestUsableAt = decisions.placement.earliestUsableAt(decisions.upstreams.of(service), emptySet(), now)
-        return earliestUsableAt?.takeIf { it > now }?.let { it - now }
-    }
-
     private fun mayRetry() = sentCount < maxAttempts && connectFailures < MAX_CONNECT_FAILURES &&
-        ticker.now() < deadline && crashVerdict() == CrashVerdict.ADMITTED
+        ticker.now() < deadline && crashVerdict == CrashVerdict.ADMITTED
 
     private inline fun ifNothingRuns(result: () -> RequestResult): RequestResult? =
         if (runningAttempts.isEmpty() && finishedAttempts.isEmpty()) result() else null
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/ConfigurationConfirmationSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/ConfigurationConfirmationSpec.kt
@@ -78,7 +78,7 @@
         }
     }
 
-    /** Guards against confirmations that count from when a busy entry reads them, or are passed on by an entry that does. */
+    /** Guards against confirmations that count from when a busy entry reads them. */
     @Test
     fun `a confirmation that is read late does not hold for longer`() = simulate { cluster ->
         for ((round, late) in listOf(300, 900, 1_500).withIndex()) {
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/ServedConfigurationSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/ServedConfigurationSpec.kt
@@ -46,7 +46,9 @@
         entry.book.state != null && entry.admission.verdict(true) == FreshnessVerdict.SERVE
 
     /** The entries that serve by a version that was replaced longer ago than the bound, with the excess. */
-    private fun TestScope.outdated(cluster: SimulatedCluster) = cluster.entries.filter { !it.ended && serves(it) }.mapNotNull { entry ->
+    private fun TestScope.outdated(
+        cluster: SimulatedCluster,
+    ) = cluster.entries.filter { !it.ended && serves(it) }.mapNotNull { entry ->
         val inForce = checkNotNull(entry.book.state).version
         val replacedAt = acknowledged.filterKeys { it > inForce }.values.minOrNull()
         val excess = replacedAt?.let { now() - it - SimulatedCluster.CHANGE_BOUND }
