--- a/gateway/src/main/kotlin/io/poplarwood/gateway/explain/Cause.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/explain/Cause.kt
@@ -21,6 +21,8 @@
         Outcome.FULL to
             "The service had more work than it carries: the wait for a slot was, or would have been, too long.",
         Outcome.SHED to "Each upstream that it was sent to said that it did not run it, and no other was allowed.",
+        Outcome.HELPER_REFUSED to
+            "The entry was cut off from the upstreams, and the entries that it asked refused to run the request.",
         Outcome.NOT_SENT to "No upstream that was chosen accepted a connection.",
         Outcome.CRASHES to "Three upstreams were lost while they ran this request; it is not sent to a fourth.",
         Outcome.EXPIRED to "Its time ended while it waited for a slot.",
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/explain/Explanation.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/explain/Explanation.kt
@@ -51,6 +51,8 @@
             GatewayEvent.RELOADED,
             GatewayEvent.FAILED,
             GatewayEvent.ANSWERS_DROPPED,
+            GatewayEvent.CUT_OFF,
+            GatewayEvent.CUT_OFF_ENDED,
             GatewayEvent.STORE_LOST,
             GatewayEvent.STORE_BACK,
             GatewayEvent.STATE_IN_FORCE,
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/reach/UpstreamReach.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/reach/UpstreamReach.kt
@@ -92,7 +92,7 @@
      */
     fun tick(neighborCutOff: Boolean) {
         val now = ticker.now()
-        if (neighborCutOff) upstreams.all.forEach(::pathTo)
+        if (neighborCutOff) upstreams.serviceNames.forEach(::pathTo)
         for ((service, path) in paths) {
             val unused = neighborCutOff && now - path.answeredAt > IDLE_TIME
             when {
@@ -103,7 +103,9 @@
         announce(now)
     }
 
-    private fun pathTo(row: UpstreamRow) = paths.getOrPut(row.record.service) { ServicePath() }
+    private fun pathTo(row: UpstreamRow) = pathTo(row.record.service)
+
+    private fun pathTo(service: ServiceName) = paths.getOrPut(service) { ServicePath() }
 
     private fun checkIfDue(service: ServiceName, path: ServicePath, pause: Duration) {
         val now = ticker.now()
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/UpstreamTable.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/UpstreamTable.kt
@@ -12,6 +12,9 @@
 
     val all: Collection<UpstreamRow> get() = rows.values
 
+    /** All services that upstreams were registered for. */
+    val serviceNames: Set<ServiceName> get() = services.keys
+
     /** Rows of [service], including those of draining upstreams. */
     fun of(service: ServiceName): List<UpstreamRow> = services[service].orEmpty()
 
