--- a/gateway/src/main/kotlin/io/poplarwood/gateway/reach/UpstreamReach.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/reach/UpstreamReach.kt
@@ -150,7 +150,9 @@
 
     private suspend fun checkWhetherWhole(service: ServiceName, path: ServicePath) {
         val sample = sample(service, path, WHOLE_SAMPLE)
-        val whole = sample.isNotEmpty() && connect(sample).all { it == ConnectResult.ACCEPTED }
+        val reached = connect(sample).count { it == ConnectResult.ACCEPTED }
+        // Single upstreams may be dead; without any, there is nothing to be cut off from.
+        val whole = sample.isEmpty() || reached * 2 > sample.size
         path.passedChecks = if (whole) path.passedChecks + 1 else 0
         if (path.passedChecks < REQUIRED_PASSES) return
         val now = ticker.now()
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/relay/RelayedRun.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/relay/RelayedRun.kt
@@ -46,24 +46,29 @@
      * @param attemptsLeft number of upstreams that the request may still be sent to
      */
     suspend fun run(evidence: ExecutionEvidence, attemptsLeft: Int): RequestResult? {
-        if (attemptsLeft < 1) return null
+        var left = attemptsLeft
         var result: RequestResult? = null
-        while (tried.size < MAX_HELPERS && ticker.now() < deadline) {
+        while (left > 0 && tried.size < MAX_HELPERS && ticker.now() < deadline) {
             val helper = helpers.select(tried) ?: break
+            if (tried.isNotEmpty() && evidence.mayHaveRun && !mayRepeat()) break
             tried += helper.name
-            val reply = exchange(helper, attemptsLeft)
+            // What the first helper did with its attempts is not known when it does not answer.
+            val granted = if (another && left > 1) left - 1 else left
+            val reply = exchange(helper, granted)
             final(reply, evidence)?.let { return it }
             result = interim(reply, evidence)
-            if (evidence.mayHaveRun && !mayRepeat()) break
+            if (evidence.mayHaveRun) left -= granted
         }
         return result
     }
 
-    private suspend fun exchange(helper: PeerStatus, attemptsLeft: Int): AttemptResult? {
+    /** Whether another helper may follow the one that is asked now, also if that does not answer. */
+    private val another get() = route.kind.retryable && tried.size < MAX_HELPERS
+
+    private suspend fun exchange(helper: PeerStatus, attempts: Int): AttemptResult? {
         val sentAt = ticker.now()
-        val left = deadline - sentAt
-        val limit = if (route.kind.retryable && tried.size < MAX_HELPERS) left * FIRST_SHARE else left
-        val headers = RelayHeaders.of(Hop(request.fingerprint, attemptsLeft))
+        val limit = (deadline - sentAt) * (if (another) FIRST_SHARE else 1.0)
+        val headers = RelayHeaders.of(Hop(request.fingerprint, attempts))
         val outbound = UpstreamRequest(request, deadline, null, headers) {
             handler.configurationAdmission.maySend(request.arrivedAt)
         }
