--- a/gateway/src/main/kotlin/io/poplarwood/gateway/relay/RelayedRun.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/relay/RelayedRun.kt
@@ -48,13 +48,13 @@
     suspend fun run(evidence: ExecutionEvidence, attemptsLeft: Int): RequestResult? {
         var left = attemptsLeft
         var result: RequestResult? = null
-        while (left > 0 && tried.size < MAX_HELPERS && ticker.now() < deadline) {
-            val helper = helpers.select(tried) ?: break
-            if (tried.isNotEmpty() && evidence.mayHaveRun && !mayRepeat()) break
-            tried += helper.name
+        while (left > 0) {
+            val helper = nextHelper(evidence) ?: break
             // What the first helper did with its attempts is not known when it does not answer.
-            val granted = if (another && left > 1) left - 1 else left
-            val reply = exchange(helper, granted)
+            val mayFollow = route.kind.retryable && tried.size < MAX_HELPERS && left > 1
+            val granted = if (mayFollow) left - 1 else left
+            val timeLeft = deadline - ticker.now()
+            val reply = exchange(helper, granted, if (mayFollow) timeLeft * FIRST_SHARE else timeLeft)
             final(reply, evidence)?.let { return it }
             result = interim(reply, evidence)
             if (evidence.mayHaveRun) left -= granted
@@ -62,12 +62,19 @@
         return result
     }
 
-    /** Whether another helper may follow the one that is asked now, also if that does not answer. */
-    private val another get() = route.kind.retryable && tried.size < MAX_HELPERS
+    /** The entry to ask next; null when none can help, or the request may not be sent once more. */
+    private fun nextHelper(evidence: ExecutionEvidence): PeerStatus? {
+        if (tried.size >= MAX_HELPERS || ticker.now() >= deadline) return null
+        val helper = helpers.select(tried) ?: return null
+        val repeats = tried.isNotEmpty() && evidence.mayHaveRun
+        if (repeats && !mayRepeat()) return null
+        tried += helper.name
+        return helper
+    }
 
-    private suspend fun exchange(helper: PeerStatus, attempts: Int): AttemptResult? {
+    /** Sends the request to [helper], which may make [attempts]; null when it does not answer within [limit]. */
+    private suspend fun exchange(helper: PeerStatus, attempts: Int, limit: Duration): AttemptResult? {
         val sentAt = ticker.now()
-        val limit = (deadline - sentAt) * (if (another) FIRST_SHARE else 1.0)
         val headers = RelayHeaders.of(Hop(request.fingerprint, attempts))
         val outbound = UpstreamRequest(request, deadline, null, headers) {
             handler.configurationAdmission.maySend(request.arrivedAt)
