Tell others at once when a configuration is confirmed again after a long read

A follower that reads 1,900 routes for two seconds confirms nothing meanwhile, and since requests are refused while their version is unconfirmed, the others refused until its next regular heartbeat, 0.4 s after the read, although they had the version.

An entry that was heard of as unconfirmed for over a second sends a heartbeat with the next tick once it is confirmed.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
@@ -15,6 +15,7 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Sends the state of this entry to other entries and merges what they send.
@@ -63,6 +64,7 @@
     /** Since when a newer desired state has been arriving from the store; null while none is. */
     private var readingSince: Duration? = null
     private var readingAnnounced = false
+    private var announcedStaleness = Duration.ZERO
     private var lastHeartbeatAt = -Duration.INFINITE
 
     /** Whether a heartbeat is sent at the next tick instead of at the end of the interval. */
@@ -90,7 +92,7 @@
         refreshRoles()
         val period = if (schedule.wide) HeartbeatPlan.ACTIVE_PERIOD else HeartbeatPlan.STANDBY_PERIOD
         val due =
-            heartbeatDue || (schedule.wide && versions != announcedVersions) || readingChanged ||
+            heartbeatDue || (schedule.wide && versions != announcedVersions) || readingChanged || confirmedAgain ||
                 ticker.now() - lastHeartbeatAt >= period
         if (due) sendHeartbeats()
         nextTick.complete(Unit)
@@ -102,6 +104,12 @@
     /** An answer that arrives whole between two ticks is not announced. */
     private val readingChanged get() = schedule.wide && (readingSince != null) != readingAnnounced
 
+    /** Others refuse requests while what they hear is unconfirmed, so they learn at once when it no longer is. */
+    private val confirmedAgain
+        get() = schedule.wide && announcedStaleness > LONG_UNCONFIRMED && stateStaleness < LONG_UNCONFIRMED
+
+    private val stateStaleness get() = ticker.now() - book.freshness.confirmedAt
+
     private fun detectSilent(now: Duration) {
         for (peer in table.markSilent(now)) {
             log.log(GatewayEvent.PEER_SILENT, peer.name, (now - peer.lastSeenAt).inWholeMilliseconds)
@@ -127,6 +135,7 @@
         lastHeartbeatAt = now
         heartbeatDue = false
         announcedVersions = versions
+        announcedStaleness = stateStaleness
         readingAnnounced = readingSince != null
         // All heartbeats leave before the rest of the load, so that the load delays none of them.
         val rest = schedule.due().map { batch -> batch to sendHeartbeat(batch, now) }
@@ -285,4 +294,9 @@
         val to = if (sender.active) table.liveInZone(record.zone) else table.live
         send(PeerMessage.UpstreamUpdate(self, update.after, update.rows), (to - sender).map { it.record.peers })
     }
+
+    private companion object {
+        /** Staleness that a follower reaches only while a large configuration is on its way to it. */
+        val LONG_UNCONFIRMED = 1.seconds
+    }
 }
