Warm a stand-in up before its lag is tested

StandInUpstreamSpec, "lag and are false when configured to", failed in both of two runs in which its class was the first of the process: 503 in place of 200, after 0.47 and 0.65 s. Traced by the order: run alone, another class comes first and takes 1.9 s, and it passed twice. The first exchange takes longer than the lag of 300 ms, so the report it asked for was due. The check and its lag are the same; an exchange comes before the fault is set. With the order that failed it passes (one run).

--- a/standins/src/test/kotlin/io/poplarwood/standins/upstream/StandInUpstreamSpec.kt
+++ b/standins/src/test/kotlin/io/poplarwood/standins/upstream/StandInUpstreamSpec.kt
@@ -161,6 +161,8 @@
         /** With health reports that are always current and true, tests would not exercise stale or false reports. */
         @Test
         fun `lag and are false when configured to`() {
+            // The first exchange of a process takes longer than the lag.
+            assertEquals(200, send("/health").join().statusCode())
             upstream.fault { copy(draining = true, reportLagMs = 300) }
             assertEquals(200, send("/health").join().statusCode())
             awaitCondition { send("/health").join().statusCode() == 503 }
