--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -78,8 +78,12 @@
             record(name + " started, process " + process.pid());
         }
 
+        int quietSignal(String signal) throws IOException, InterruptedException {
+            return new ProcessBuilder("kill", "-" + signal, String.valueOf(process.pid())).start().waitFor();
+        }
+
         void signal(String signal) throws IOException, InterruptedException {
-            int code = new ProcessBuilder("kill", "-" + signal, String.valueOf(process.pid())).start().waitFor();
+            int code = quietSignal(signal);
             record("SIG" + signal + " to " + name + (code == 0 ? "" : ", which failed"));
         }
 
@@ -154,9 +158,9 @@
         System.exit(code);
     }
 
-    /** Uses another figure of the site for a bound; call before nodes are added. */
-    void bound(String name, Object value) {
-        bounds.put("bounds." + name, value);
+    /** Uses another figure of the site in the settings; call before nodes are added. */
+    void setting(String name, Object value) {
+        bounds.put(name, value);
     }
 
     Node node(String name, String zone) throws IOException {
