--- a/review/standins/Client.java
+++ b/review/standins/Client.java
@@ -21,8 +21,11 @@
 
     final Socket socket = new Socket();
     private final InputStream input;
+    private final String address;
+    private String lastId = "";
 
     Client(String address, int receiveBuffer) throws IOException {
+        this.address = address;
         if (receiveBuffer > 0) socket.setReceiveBufferSize(receiveBuffer);
         socket.setTcpNoDelay(true);
         socket.connect(Deployment.socketAddress(address), 1_000);
@@ -31,6 +34,17 @@
     }
 
     void send(String method, String target, String id, int deadlineMs, byte[] body) throws IOException {
+        noteSent(method + " " + target, id, body == null ? 0 : body.length);
+        sendQuietly(method, target, id, deadlineMs, body);
+    }
+
+    /** Notes that a request is sent, for one that the caller writes itself. */
+    void noteSent(String what, String id, int bytes) {
+        lastId = id;
+        Deployment.note("sent " + id + " " + what + ", " + bytes + " bytes, to " + address);
+    }
+
+    void sendQuietly(String method, String target, String id, int deadlineMs, byte[] body) throws IOException {
         String head = method + " " + target + " HTTP/1.1\r\nHost: " + HOST + "\r\nPoplarwood-Request-Id: " + id
             + "\r\nPoplarwood-Deadline-Ms: " + deadlineMs + "\r\n"
             + (body == null ? "" : "Content-Length: " + body.length + "\r\n") + "\r\n";
@@ -43,6 +57,13 @@
 
     /** Receives one answer; at {@code bytesPerS}, when that is positive. */
     Answer receive(int bytesPerS) {
+        Answer answer = receiveQuietly(bytesPerS);
+        Deployment.note("answered " + lastId + " with status " + answer.status() + ", " + answer.body().length
+            + " bytes, complete " + answer.complete());
+        return answer;
+    }
+
+    Answer receiveQuietly(int bytesPerS) {
         Map<String, String> headers = new LinkedHashMap<>();
         int status = 0;
         ByteArrayOutputStream body = new ByteArrayOutputStream();
--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -1,4 +1,3 @@
-import java.io.BufferedWriter;
 import java.io.File;
 import java.io.IOException;
 import java.io.PrintWriter;
@@ -89,8 +88,8 @@
 
         boolean isReady() {
             try (Client client = new Client((String) fields.get("listen.ready"), 0)) {
-                client.send("GET", "/readyz", "ready", 1_000, null);
-                return client.receive(0).status() == 200;
+                client.sendQuietly("GET", "/readyz", "ready", 1_000, null);
+                return client.receiveQuietly(0).status() == 200;
             } catch (IOException e) {
                 return false;
             }
@@ -107,6 +106,7 @@
     }
 
     private static final long MAX_RUN_MS = 110_000;
+    private static volatile Deployment current;
     private final Path root;
     private final Path folder;
     private final PrintWriter log;
@@ -118,7 +118,7 @@
     private Deployment(Path root, Path recordFile) throws IOException {
         this.root = root;
         folder = Files.createTempDirectory("poplarwood-review");
-        log = new PrintWriter(new BufferedWriter(Files.newBufferedWriter(recordFile, StandardCharsets.UTF_8)), true);
+        log = new PrintWriter(Files.newBufferedWriter(recordFile, StandardCharsets.UTF_8), false);
         store = new Store();
         bounds.putAll(Map.of("bounds.drain-s", 2, "bounds.grace-s", 6, "bounds.config-apply-s", 2,
             "bounds.retry-budget-ratio", 0.2, "bounds.retry-budget-slack", 64, "bounds.budget-window-s", 10,
@@ -142,6 +142,7 @@
                 System.err.println("cannot run: it takes too long");
                 System.exit(2);
             });
+            current = deployment;
             if (!Files.exists(root.resolve("target/poplarwood-daemon.jar"))) {
                 throw new CannotRun("the build of the deploy file was not run");
             }
@@ -167,10 +168,22 @@
         return new Node(name, zone);
     }
 
-    synchronized void record(String text) {
+    /** Writes a line to the record and to the output. */
+    void record(String text) {
+        System.out.println(write(text));
+        log.flush();
+    }
+
+    /** Writes what was sent, answered or run to the record of the case that runs in this process. */
+    static void note(String text) {
+        Deployment deployment = current;
+        if (deployment != null) deployment.write(text);
+    }
+
+    private synchronized String write(String text) {
         String line = String.format("%8.3f %s", elapsedS(), text);
         log.println(line);
-        System.out.println(line);
+        return line;
     }
 
     double elapsedS() {
--- a/review/standins/Server.java
+++ b/review/standins/Server.java
@@ -124,6 +124,7 @@
             request.socket().getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
             return true;
         }
+        Deployment.note("run " + request.id() + " at " + id);
         return work.run(request);
     }
 
