Review cases 1 and 3: read TROUBLE in run.sh, end all on a signal

run.sh reads TROUBLE and replaces itself by the harness, which ends its processes and removes its folder on SIGTERM too. An error of the harness exits with 2, not with 1. Nodes get the environment that DEPLOY.md names.

--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -68,6 +68,7 @@
             Files.writeString(settings, render(Files.readString(root.resolve("deploy/settings.jsonc")), fields));
             ProcessBuilder builder = new ProcessBuilder(command());
             builder.directory(root.toFile());
+            builder.environment().keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
             builder.environment().put("POPLARWOOD_CONFIG", settings.toString());
             builder.redirectErrorStream(true);
             File log = folder.resolve(name + ".log").toFile();
@@ -129,10 +130,9 @@
     static void main(Case review) {
         int code = 2;
         Path root = Path.of(System.getProperty("review.root"));
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+        boolean trouble = !"0".equals(System.getProperty("review.trouble"));
         try (Deployment deployment = new Deployment(root, Path.of(System.getProperty("review.record")))) {
-            Thread ended = new Thread(deployment::endProcesses);
-            Runtime.getRuntime().addShutdownHook(ended);
+            Runtime.getRuntime().addShutdownHook(new Thread(deployment::endAll));
             background(() -> {
                 try {
                     Thread.sleep(MAX_RUN_MS);
@@ -153,7 +153,8 @@
             code = broken.isEmpty() ? 0 : 1;
         } catch (CannotRun e) {
             System.err.println("cannot run: " + e.getMessage());
-        } catch (Exception e) {
+        } catch (Throwable e) {
+            // The JVM would exit with 1, which says that the rule was broken.
             e.printStackTrace();
         }
         System.exit(code);
@@ -224,13 +225,29 @@
         endProcesses();
         store.close();
         log.close();
-        if (System.getenv("KEEP") == null) {
-            try (var files = Files.list(folder)) {
-                for (Path file : files.toList()) Files.delete(file);
-            }
-            Files.delete(folder);
-        } else {
+        removeFolder();
+    }
+
+    /** Removes the temporary folder with the settings and logs of the nodes, unless the variable KEEP is set. */
+    private void removeFolder() throws IOException {
+        if (!Files.exists(folder)) return;
+        if (System.getenv("KEEP") != null) {
             System.out.println("logs of the nodes: " + folder);
+            return;
+        }
+        try (var files = Files.list(folder)) {
+            for (Path file : files.toList()) Files.delete(file);
+        }
+        Files.delete(folder);
+    }
+
+    /** What remains to be done where the run itself is ended from outside or takes too long. */
+    private void endAll() {
+        endProcesses();
+        try {
+            if (System.getenv("KEEP") == null) removeFolder();
+        } catch (IOException e) {
+            e.printStackTrace();
         }
     }
 
