--- a/review/2/MissedRemoval.java
+++ b/review/2/MissedRemoval.java
@@ -63,11 +63,10 @@
     private static String round(Deployment deployment, boolean trouble, Deployment.Node suspended,
         Deployment.Node restarted, Server leaving, Map<String, Double> reachedAt, Map<String, Double> sentAt)
         throws Exception {
-        if (trouble) {
-            restarted.signal("KILL");
-            suspended.signal("STOP");
-        }
-        Thread.sleep(2_000);
+        if (trouble) suspended.signal("STOP");
+        Thread.sleep(1_800);
+        if (trouble) restarted.signal("KILL");
+        Thread.sleep(200);
         deployment.store.remove("servers", leaving.id);
         double removedAt = deployment.elapsedS();
         deployment.record("server " + leaving.id + " leaves: its entry is removed, it serves on for " + SERVED_ON_S + " s");
