--- a/review/5/LeftAtOnce.java
+++ b/review/5/LeftAtOnce.java
@@ -3,14 +3,15 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * One requester in four leaves right after it has sent its request, for a few seconds, at one machine of three. From
- * then on all requesters stay. The servers are sound and idle, so their requests must be served.
+ * One requester in four leaves right after it has sent its request, for a few seconds, at one machine of three, which is
+ * suspended for a part of that time. From then on all requesters stay and all machines run. The servers are sound and idle, so their requests must be served.
  */
 public final class LeftAtOnce {
     private static final int REQUEST_BYTES = 2048;
-    private static final int REQUESTERS = 4;
+    private static final int REQUESTERS = 8;
     private static final double LEAVING_S = 5;
     private static final double CALM_S = 20;
+    private static final int SUSPENDED_MS = 2_500;
 
     public static void main(String[] args) {
         Deployment.main(LeftAtOnce::run);
@@ -36,7 +37,7 @@
         for (Deployment.Node node : nodes) node.awaitReady();
         Thread.sleep(5_000);
 
-        allotProcessor(nodes.get(0));
+        if (trouble) suspend(nodes.get(0));
         double leavingUntil = deployment.elapsedS() + LEAVING_S;
         Counts early = new Counts();
         send(deployment, nodes.subList(0, 1), leavingUntil, trouble, early);
@@ -64,16 +65,14 @@
         return List.of();
     }
 
-    /** The core of a machine runs for 60 ms of each tenth of a second, as far as its share of 0.6 goes. */
-    private static void allotProcessor(Deployment.Node node) {
+    /** Suspends the machine for a while in which requesters leave. */
+    private static void suspend(Deployment.Node node) {
         Deployment.background(() -> {
             try {
-                while (node.process.isAlive()) {
-                    node.quietSignal("STOP");
-                    Thread.sleep(40);
-                    node.quietSignal("CONT");
-                    Thread.sleep(60);
-                }
+                Thread.sleep(1_500);
+                node.signal("STOP");
+                Thread.sleep(SUSPENDED_MS);
+                node.signal("CONT");
             } catch (Exception e) {
                 throw new IllegalStateException(e);
             }
