--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -89,6 +89,7 @@
 
         boolean isReady() {
             try (Client client = new Client((String) fields.get("listen.ready"), 0)) {
+                client.socket.setSoTimeout(2_000);
                 client.sendQuietly("GET", "/readyz", "ready", 1_000, null);
                 return client.receiveQuietly(0).status() == 200;
             } catch (IOException e) {
