--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -73,8 +73,11 @@
             builder.redirectErrorStream(true);
             File log = folder.resolve(name + ".log").toFile();
             builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log));
-            process = builder.start();
-            processes.add(process);
+            synchronized (processes) {
+                if (ending) throw new CannotRun("the run is ending");
+                process = builder.start();
+                processes.add(process);
+            }
             record(name + " started, process " + process.pid());
         }
 
@@ -114,6 +117,7 @@
     private final PrintWriter log;
     private final long startedAt = System.nanoTime();
     private final List<Process> processes = new ArrayList<>();
+    private boolean ending;
     private final Map<String, Object> bounds = new LinkedHashMap<>();
     final Store store;
 
@@ -252,9 +256,15 @@
         }
     }
 
+    /** Ends all processes that were started; none can be started afterwards. */
     private void endProcesses() {
-        for (Process process : processes) process.destroyForcibly();
-        for (Process process : processes) {
+        List<Process> started;
+        synchronized (processes) {
+            ending = true;
+            started = List.copyOf(processes);
+        }
+        for (Process process : started) process.destroyForcibly();
+        for (Process process : started) {
             try {
                 process.waitFor(5, TimeUnit.SECONDS);
             } catch (InterruptedException e) {
