Take an answer without a length as whole only when the upstream closed its side

Cause: UpstreamConnection takes the decoder's last chunk for the end of the answer. For an answer without a length the decoder makes that chunk whenever the channel becomes inactive. A reset that shows in a read comes as an exception first; one that shows in a write closes the channel without any.

Change: connections allow half closure, so that the end that the upstream sends is an event of a channel that is still active. An answer without a length is whole only then; whatever else ends the channel (a failed write, a reset, a close on this side) leaves it cut short.

Related paths. EntryHttpClient (the store's answers, pieces of changes, registrations, probes) had more of the fault: it closes the channel on an exception or on a reply that is too long, and the decoder's chunk then completed the part as the reply; it now ends the call first. RelayedRun uses UpstreamConnection. Answers of InternalListener and those to callers carry a length. The older modules use an HTTP client that reports a reset. An early answer with a length leaves its connection reusable while the upload is still being written: not a part that passes as whole, left as it is.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/EntryHttpClient.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/EntryHttpClient.kt
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpClientCodec
@@ -40,6 +41,7 @@
     private val idle = HashMap<String, ArrayDeque<ClientConnection>>()
     private val bootstrap = Bootstrap().group(group).channel(NioSocketChannel::class.java)
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
 
     /**
@@ -144,6 +146,7 @@
         private var collector: ReplyCollector? = null
         private var pendingReply: ((HttpReply?) -> Unit)? = null
         private var keepAlive = true
+        private var endsWithConnection = false
         private var openedAt = Duration.INFINITE
 
         val open: Boolean get() = keepAlive && channel?.isActive ?: false
@@ -169,6 +172,8 @@
             val reply = collector
             if (reply == null || pendingReply == null || !collect(reply, msg)) return abandon(ctx)
             if (msg is LastHttpContent) {
+                // The decoder ends such a reply also when the connection is reset or closed on this side.
+                if (endsWithConnection && !ctx.channel().isActive) return abandon(ctx)
                 if (!keepAlive) ctx.close()
                 collector = null
                 complete(reply.reply(openedAt))
@@ -179,6 +184,7 @@
         private fun collect(reply: ReplyCollector, msg: HttpObject): Boolean {
             if (msg.decoderResult().isFailure) return false
             if (msg is HttpResponse) {
+                endsWithConnection = msg.endsWithConnection
                 keepAlive = keepAlive && HttpUtil.isKeepAlive(msg)
                 if (!reply.begin(msg, HttpUtil.getContentLength(msg, 0L))) return false
             }
@@ -187,9 +193,15 @@
 
         private fun abandon(ctx: ChannelHandlerContext) {
             keepAlive = false
+            complete(null)
             ctx.close()
         }
 
+        /** The other side has closed its sending side; what it sent before has been read. */
+        override fun userEventTriggered(ctx: ChannelHandlerContext, event: Any) {
+            if (event == ChannelInputShutdownEvent.INSTANCE) abandon(ctx)
+        }
+
         override fun channelInactive(ctx: ChannelHandlerContext) = complete(null)
 
         override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) = abandon(ctx)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnection.kt
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -25,6 +26,10 @@
  * A response belongs to the request whose id it echoes; one with another id is late and is skipped. Bytes that are
  * received while no request is in flight close the connection.
  *
+ * A response without a length is whole only if the upstream closed its side of the connection behind it. The decoder
+ * ends such a response also when the connection is reset or closed on this side, so [channel] must allow half closure:
+ * it is then still active when the end was sent by the upstream.
+ *
  * @param onIdle called when the connection can carry another request
  * @param onClosed called when the connection has been closed
  * @param memory for responses that are not complete yet
@@ -90,12 +95,15 @@
         }
     }
 
-    override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
-        fail(if (responseHead == null) LossCause.CONNECTION_LOST else LossCause.CUT_SHORT)
+    override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) = failEnded()
+
+    /** The upstream has closed its sending side; what it sent before has been read. */
+    override fun userEventTriggered(ctx: ChannelHandlerContext, event: Any) {
+        if (event == ChannelInputShutdownEvent.INSTANCE) failEnded()
     }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
-        fail(if (responseHead == null) LossCause.CONNECTION_LOST else LossCause.CUT_SHORT)
+        failEnded()
         onClosed(this)
     }
 
@@ -131,12 +139,14 @@
             body.append(content.content())
         }
         if (content !is LastHttpContent) return
+        val response = checkNotNull(responseHead)
+        if (response.endsWithConnection && !channel.isActive) return failEnded()
         if (skippingResponse) {
             responseHead = null
             skippingResponse = false
             return
         }
-        complete(checkNotNull(responseHead))
+        complete(response)
     }
 
     private fun complete(response: HttpResponse) {
@@ -178,8 +188,7 @@
     private fun allowsReuse(response: HttpResponse): Boolean {
         val timeout = response.headers()[KEEP_ALIVE_HEADER]?.let(::parseTimeout)
         if (timeout != null) keepAlive = timeout
-        val delimited = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
-        return HttpUtil.isKeepAlive(response) && delimited
+        return HttpUtil.isKeepAlive(response) && !response.endsWithConnection
     }
 
     private fun parseTimeout(header: String): Duration? =
@@ -191,6 +200,8 @@
         reservedBytes = 0
     }
 
+    private fun failEnded() = fail(if (responseHead == null) LossCause.CONNECTION_LOST else LossCause.CUT_SHORT)
+
     private fun fail(cause: LossCause) {
         broken = true
         releaseMemory()
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnectionPool.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnectionPool.kt
@@ -35,6 +35,7 @@
     private val open = HashMap<String, HashSet<UpstreamConnection>>()
     private val bootstrap = Bootstrap().group(group).channel(NioSocketChannel::class.java)
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT.inWholeMilliseconds.toInt())
 
     /**
