Show what the requests in flight hold as gauges

Seven gauges tell them apart; with no request in flight all of them are zero, which a soak or an alarm can check from outside. They are read when they are scraped.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/RunningAttempts.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/RunningAttempts.kt
@@ -19,6 +19,9 @@
     private val running = LinkedHashMap<Long, Running>()
     private val countByFingerprint = HashMap<Long, Int>()
 
+    /** Number of attempts in flight. */
+    val size: Int get() = running.size
+
     fun add(fingerprint: Long, loss: CrashLoss) {
         running[loss.id] = Running(fingerprint, loss)
         countByFingerprint.merge(fingerprint, 1, Int::plus)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/BodyMemoryBudget.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/BodyMemoryBudget.kt
@@ -2,7 +2,9 @@
 
 /** Limits the total size of the bodies that are buffered at once to [limitBytes]. */
 internal class BodyMemoryBudget(private val limitBytes: Long) {
-    private var reservedBytes = 0L
+    /** Bytes that are reserved now. */
+    var reservedBytes: Long = 0L
+        private set
 
     /** Reserves [bytes]; returns false, and reserves nothing, if that would exceed the limit. */
     fun tryReserve(bytes: Long): Boolean {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/GatewayMetrics.kt
@@ -110,8 +110,12 @@
     /** The configuration's status, asked for at each scrape. */
     var configuration: () -> ConfigurationStatus = { ConfigurationStatus.NONE }
 
+    /** What the requests in flight hold, asked for at each scrape. */
+    var held: () -> HeldResources = { HeldResources() }
+
     init {
         ConfigurationMetrics(registry) { configuration() }
+        HeldResourceMetrics(registry) { held() }
     }
 
     /** Counts what became of a permit. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/relay/RelayHelpers.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/relay/RelayHelpers.kt
@@ -12,6 +12,9 @@
 ) {
     private val inFlight = HashMap<String, Int>()
 
+    /** Number of requests that are under way by way of other entries. */
+    val inFlightCount: Int get() = inFlight.values.sum()
+
     /** The best entry except those named in [tried]; null when no entry can help. */
     fun select(tried: Set<String>): PeerStatus? =
         peers.live.filter { it.serving && !it.cutOff && it.record.relay != null && it.name !in tried }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/CrashDetector.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/CrashDetector.kt
@@ -46,6 +46,9 @@
     private var watchedCount = 0
     private var announcedAt = -Duration.INFINITE
 
+    /** Number of attempts that are in flight. */
+    val runningCount: Int get() = running.size
+
     init {
         crashes.onDismissed = { fingerprint, loss, reason ->
             val hex = java.lang.Long.toHexString(fingerprint)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Decisions.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Decisions.kt
@@ -41,6 +41,9 @@
         if (hasQueued) onQueued()
     }
 
+    /** Number of requests that are queued for a slot. */
+    val queuedCount: Int get() = queues.values.sumOf { it.size }
+
     /** Whether any request is queued for a slot. */
     val hasQueued: Boolean get() = queues.values.any { it.size > 0 }
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/GatewayProcess.kt
@@ -86,6 +86,7 @@
             log.log(GatewayEvent.FIRST_ANSWER, sinceStart().inWholeMilliseconds)
         }
         runtime.metrics.configuration = ConfigurationStatusSource(state.replica, ticker)::status
+        runtime.metrics.held = requests::held
         try {
             openListeners()
         } catch (e: ListenFailedException) {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestPath.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestPath.kt
@@ -11,6 +11,7 @@
 import io.poplarwood.gateway.http.CallerListener
 import io.poplarwood.gateway.http.EntryHttpClient
 import io.poplarwood.gateway.http.UpstreamConnectionPool
+import io.poplarwood.gateway.metrics.HeldResources
 import io.poplarwood.gateway.peer.ProbeAssignment
 import io.poplarwood.gateway.reach.UpstreamReach
 import io.poplarwood.gateway.relay.RelayEvent
@@ -34,7 +35,7 @@
     settings: GatewaySettings,
     adapter: Adapter,
     runtime: ProcessRuntime,
-    state: EntryState,
+    private val state: EntryState,
     peers: PeerServices,
     httpClient: EntryHttpClient,
     upstreamPath: (address: String) -> String,
@@ -169,6 +170,17 @@
         )
     }
 
+    /** What the requests in flight hold now. */
+    fun held(): HeldResources = HeldResources(
+        requests = requestHandler.inFlight,
+        queued = decisions.queuedCount,
+        slots = state.upstreams.all.sumOf { it.ownInFlight },
+        attempts = crashDetector.runningCount,
+        relayed = relayPath.helpers.inFlightCount,
+        requestBytes = bodyMemory.reservedBytes,
+        answerBytes = answerMemory.reservedBytes,
+    )
+
     private fun pathLost(service: ServiceName) = requestHandler.pathLost(service)
 
     /** Assigns free slots to queued requests; returns true while any remain queued. */
