Give back what an attempt holds also when it is cancelled before it begins

Cause: RequestRun takes a slot, launches the attempt, and gives the slot back in the coroutine's finally. When the end of the caller's connection is read in the same round as its request, the request is cancelled between this launch and the coroutine's first line, which then never runs. The slot stays taken, heartbeats tell the others so, and the attempt stays among those that may end their upstream.

Change: what an attempt holds is given back when its job completes, which happens however the job ends.

Related paths. CallerConnection (the body's memory) already does so. The slot granted to a request that has left is released by its continuation; UpstreamConnectionPool closes a connection that opens too late, EntryHttpClient did not always (a cancellation between the opening and the call left it open), which is mended here by reading, without a spec. RelayHelpers counts without a launch between. PeerSync, ConfigurationSync, StateExchange, UpstreamReach.checkIfDue, CrashDetector.watch and LivenessCheck take before a launch into the process's scope, which is cancelled only at the end of the process. Body budgets of answers are released when their connection closes. UpstreamPermits and RetryBudget are used up by time. In the older modules OwnerForwarder removes its entry on completion.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/EntryHttpClient.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/EntryHttpClient.kt
@@ -138,7 +138,10 @@
         }
         val future = bootstrap.clone().handler(initializer).connect(UpstreamConnectionPool.socketAddress(address))
         continuation.invokeOnCancellation { future.channel().close() }
-        future.addListener { if (continuation.isActive) continuation.resume(connection.takeIf { _ -> it.isSuccess }) }
+        future.addListener { attempt ->
+            if (!continuation.isActive) return@addListener
+            continuation.resume(connection.takeIf { attempt.isSuccess }) { _, unused, _ -> unused?.close() }
+        }
     }
 
     private class ClientConnection(private val ticker: Ticker) : SimpleChannelInboundHandler<HttpObject>() {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
@@ -276,26 +276,32 @@
         handler.loadBoard.scheduleUpdate(row)
         handler.attemptFeedback.attemptStarted(attempt, request.fingerprint, deadline)
         handler.reach.attemptStarted(attempt, row, job.serviceTime)
-        launch {
-            try {
-                val outbound = UpstreamRequest(request, deadline, row.id) {
-                    handler.configurationAdmission.maySend(request.arrivedAt)
-                }
-                val maxIdle = if (route.kind.retryable) MAX_LINK_IDLE_IDEMPOTENT else MAX_LINK_IDLE
-                attempt.result = handler.upstreamLinks.exchange(row.record.address, outbound, maxIdle) {
-                    attempt.connectedAt = it
-                }
-                attempt.endedAt = ticker.now()
-                // Before the slot is granted to a queued request: the upstream may have become unusable.
-                handler.attemptFeedback.record(attempt, route, request.fingerprint)
-            } finally {
-                runningAttempts -= attempt
-                releaseSlot(row)
-                if (attempt.result == null) recordUnanswered(attempt)
-            }
-            finishedAttempts.addLast(attempt)
-            wakeUp.trySend(Unit)
+        val job = launch { exchange(attempt) }
+        // A job that is cancelled before it starts never runs.
+        job.invokeOnCompletion { onCompleted(attempt) }
+    }
+
+    private suspend fun exchange(attempt: Attempt) {
+        val row = attempt.row
+        val outbound = UpstreamRequest(request, deadline, row.id) {
+            handler.configurationAdmission.maySend(request.arrivedAt)
+        }
+        val maxIdle = if (route.kind.retryable) MAX_LINK_IDLE_IDEMPOTENT else MAX_LINK_IDLE
+        attempt.result = handler.upstreamLinks.exchange(row.record.address, outbound, maxIdle) {
+            attempt.connectedAt = it
         }
+        attempt.endedAt = ticker.now()
+        // Before the slot is granted to a queued request: the upstream may have become unusable.
+        handler.attemptFeedback.record(attempt, route, request.fingerprint)
+    }
+
+    /** Gives back what [attempt] held, whether it has begun or not. */
+    private fun onCompleted(attempt: Attempt) {
+        runningAttempts -= attempt
+        releaseSlot(attempt.row)
+        if (attempt.result == null) return recordUnanswered(attempt)
+        finishedAttempts.addLast(attempt)
+        wakeUp.trySend(Unit)
     }
 
     private fun releaseSlot(row: UpstreamRow) {
