Let an entry that has just started vouch only for what changed after its start

Cause: a heartbeat says that no registration changed between upstreamVersion and coveredVersion. An entry that has just read the list of all registrations knows what is there, not what was removed before: its upstreamVersion is that of the newest row that is left. Whoever had missed the removal took the claim over, asked the store and others only for what came later, and counted its registrations as confirmed.

Change: StateReplica keeps the version of the list that it started from, and unchangedSince is never below it. Heartbeats carry it; a receiver takes over coveredVersion only from there on, and a confirmation only if it has all that the sender has. Where the sender does not say (an older build), nothing is taken over and the receiver asks the store itself. An entry that nobody has confirmed for 2 s, since all others started after what it has, fetches the whole list of one of them; the store, where it answers, is asked before that.

Related paths, each with the same claim. upstreamChanges answered a query for the changes before its list as if it knew the removals: such a query now gets the whole list. A late update brought back, at an entry that had just started, a row that was removed before: such rows are skipped. The desired state is one row; the table of entries is judged by heartbeats, not by absence.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/DatagramSize.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/DatagramSize.kt
@@ -57,8 +57,13 @@
     fun of(hello: PeerMessage.Hello): Int {
         val names = of(hello.from) + of(hello.zone) + of(hello.callers) + of(hello.peers)
         val versions = of(hello.stateVersion.toString()) +
-            listOf(hello.upstreamVersion, hello.coveredVersion, hello.stateReceived, hello.stateAccepted)
-                .sumOf { of(it.toString()) }
+            listOfNotNull(
+                hello.upstreamVersion,
+                hello.coveredVersion,
+                hello.unchangedSince,
+                hello.stateReceived,
+                hello.stateAccepted,
+            ).sumOf { of(it.toString()) }
         return HEARTBEAT_BYTES + names + versions + hello.zoneActive.sumOf(::of)
     }
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
@@ -165,6 +165,7 @@
         stateVersion = book.stateVersion,
         upstreamVersion = book.upstreamVersion,
         coveredVersion = book.coveredVersion,
+        unchangedSince = book.unchangedSince,
         confirmedMs = (now - book.confirmedAt).inWholeMilliseconds,
         stateReceived = book.freshness.receivedVersion,
         stateAccepted = book.freshness.acceptedVersion,
@@ -253,11 +254,14 @@
     /** Compares the store versions of the sender with the own ones: requests newer rows or confirms the own ones. */
     private fun compareVersions(hello: PeerMessage.Hello) {
         book.observe(maxOf(hello.upstreamVersion, hello.stateAccepted))
-        if (hello.upstreamVersion <= book.coveredVersion) book.advanceCoveredVersion(hello.coveredVersion)
+        // An entry that started after what this one has does not know what was removed in between.
+        val unchangedSince = hello.unchangedSince ?: hello.coveredVersion
+        if (unchangedSince <= book.coveredVersion) book.advanceCoveredVersion(hello.coveredVersion)
         val sentAt = table.sentAt(hello)
         answers.heard(hello, sentAt)
         val lacksUpstreams = hello.upstreamVersion > book.upstreamVersion
-        if (!lacksUpstreams && sentAt != null) book.confirm(sentAt - hello.confirmedMs.milliseconds)
+        val coversSender = hello.coveredVersion <= book.coveredVersion
+        if (coversSender && sentAt != null) book.confirm(sentAt - hello.confirmedMs.milliseconds)
         val stateConfirmedAt = sentAt?.let { it - hello.stateConfirmedMs.milliseconds } ?: -Duration.INFINITE
         // What the sender knows of the store changes nothing here: this entry has no older desired state than it.
         if (hello.stateVersion <= book.stateVersion) book.freshness.accept(hello.stateAccepted)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/RegistrationSender.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/RegistrationSender.kt
@@ -32,7 +32,7 @@
     /** The reply to [query]. */
     suspend fun reply(query: RegistrationQuery): RegistrationReply {
         val upstreamVersion = book.upstreamVersion
-        if (upstreamVersion <= query.newest) return RegistrationReply.Nothing
+        if (upstreamVersion <= query.newest && book.unchangedSince <= query.covered) return RegistrationReply.Nothing
         if (!admission.admit(query.receiver)) {
             busyReplies++
             return RegistrationReply.Busy(admission.referrals { it > query.newest })
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/StateExchange.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/StateExchange.kt
@@ -14,6 +14,7 @@
 import io.poplarwood.gateway.metrics.GatewayMetrics
 import io.poplarwood.gateway.peer.ConfigurationSync
 import io.poplarwood.gateway.peer.NewerPeers
+import io.poplarwood.gateway.peer.PeerMessage
 import io.poplarwood.gateway.peer.PeerRecord
 import io.poplarwood.gateway.peer.PeerSync
 import io.poplarwood.gateway.peer.PeerTable
@@ -21,6 +22,7 @@
 import io.poplarwood.gateway.peer.RegistrationReply
 import io.poplarwood.gateway.peer.RegistrationSender
 import io.poplarwood.gateway.store.StateReplica
+import io.poplarwood.gateway.store.StoreVersion
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -29,6 +31,7 @@
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Exchange of the store's rows with other entries: desired states in pieces, registrations in pages.
@@ -48,7 +51,7 @@
     background: BackgroundWork,
     random: RandomSource,
     private val scope: CoroutineScope,
-    ticker: Ticker,
+    private val ticker: Ticker,
     log: EventLog,
     metrics: GatewayMetrics,
 ) {
@@ -75,7 +78,7 @@
     private val registrations = PeerSync(
         record.peers,
         { address, query -> ask(address, REGISTRATIONS_PATH + query.encode()) },
-        NewerPeers(self, record.zone, peers) { it.upstreamVersion },
+        NewerPeers(self, record.zone, peers, ::registrationVersion),
         takesCallers,
         book,
         random,
@@ -85,6 +88,16 @@
     )
     private var scheduled = false
 
+    /**
+     * Version of the registrations that the sender of [hello] has. An entry whose registrations nobody has confirmed for
+     * long may have missed a removal of which its peers, when all of them started after it, know only the absence.
+     */
+    private fun registrationVersion(hello: PeerMessage.Hello): StoreVersion {
+        val unchangedSince = hello.unchangedSince ?: return hello.upstreamVersion
+        val unconfirmed = ticker.now() - book.confirmedAt > MAX_UNCONFIRMED
+        return if (unconfirmed && unchangedSince > book.coveredVersion) unchangedSince else hello.upstreamVersion
+    }
+
     /**
      * Fetches what is newer after a short delay, since updates of one change arrive from several entries; without a
      * delay while this entry has no desired state.
@@ -138,6 +151,9 @@
     }
 
     private companion object {
+        /** An entry that reaches the store has asked it itself by then. */
+        val MAX_UNCONFIRMED = 2.seconds
+
         const val REGISTRATIONS_PATH = "/state/"
         const val CONFIGURATION_PATH = "/configuration/"
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateReplica.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateReplica.kt
@@ -72,6 +72,15 @@
     var coveredVersion: StoreVersion = StoreVersion.NONE
         private set
 
+    /**
+     * Store version after which every change of a registration has been seen here. A list of all registrations does
+     * not show what was removed before it.
+     */
+    private var changesSeenAfter = StoreVersion.NONE
+
+    /** Store version from which to [coveredVersion] no registration changed or was removed. */
+    val unchangedSince: StoreVersion get() = maxOf(upstreamVersion, changesSeenAfter)
+
     /** When this entry or a peer last confirmed that the registrations are the newest. */
     var confirmedAt: Duration = -Duration.INFINITE
         private set
@@ -150,6 +159,7 @@
         val missing = upstreamRows.values.filter { it.key !in present && it.version <= rows.version }.map { it.key }
         missing.forEach { handleRemoval(it, rows.version, source) }
         val removalVersion = if (missing.isEmpty()) StoreVersion.NONE else rows.version
+        if (rows.version > coveredVersion) changesSeenAfter = rows.version
         advanceVersions(rows, newest ?: maxOf(removalVersion, newestVersion(rows)))
     }
 
@@ -166,7 +176,8 @@
         newest: StoreVersion? = null,
     ): Boolean {
         observe(rows.version)
-        for (row in rows.rows) applyUpstream(row, source)
+        // An older row that the list of all registrations did not have was removed before.
+        for (row in rows.rows) if (row.version > changesSeenAfter) applyUpstream(row, source)
         val complete = after <= coveredVersion
         if (complete) advanceVersions(rows, newest ?: newestVersion(rows)) else onChanged()
         return complete
@@ -222,10 +233,11 @@
 
     /**
      * The registrations that changed or were removed after store version [covered]; null when removals of that time are
-     * no longer known.
+     * not known, or no longer.
      */
     fun upstreamChanges(covered: StoreVersion): List<StoredRow>? {
-        if (covered < removedVersions.droppedUpTo || covered == StoreVersion.NONE) return null
+        val removalsKnownAfter = maxOf(changesSeenAfter, removedVersions.droppedUpTo)
+        if (covered < removalsKnownAfter || covered == StoreVersion.NONE) return null
         val removed = removedVersions.after(covered).filterKeys { it !in upstreamRows }
         return upstreamRows.values.filter { it.version > covered } +
             removed.map { (key, at) -> StoredRow(key, null, at) }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateWatcher.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateWatcher.kt
@@ -147,7 +147,7 @@
 
     /** Applies [rows], which the store had no change beyond before [confirmedAt]. */
     private suspend fun apply(rows: RowSnapshot, full: Boolean, confirmedAt: Duration) {
-        val versionBefore = if (topic == Topic.UPSTREAMS) book.upstreamVersion else version
+        val versionBefore = if (topic == Topic.UPSTREAMS) book.unchangedSince else version
         when (topic) {
             Topic.DESIRED_STATE -> {
                 book.applyStateRows(rows, "store")
