Send what may run only once on no connection whose rejections name no request

What they send to reject a request (503 or 421, not executed) names no id in the platform's own examples, and UpstreamConnection takes such an answer for the request in flight. The late copy of a rejection that follows the next request on the connection then counts as the rejection of that request, which the upstream runs.

Change: a connection that has brought an answer without an id carries only requests that may run again. Refusing the answer in place of the connection was ruled out: upstreams reject in this form, and callers would lose the promise.

Related paths. A request that may run again can still be taken for rejected on such a connection: it is retried, its own answer is then skipped by its id or closes the connection. Relayed requests get rejections with the id (RelayReplies). EntryHttpClient has no ids at all: bytes before its call close the connection, a copy within the next call passes as its reply; it talks to the store, to entries and to health checks, none of which is known to answer twice.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/IdleConnections.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/IdleConnections.kt
@@ -8,16 +8,21 @@
     private val connections = ArrayDeque<C>()
 
     /**
-     * Removes and returns a connection that has been idle for at most [maxIdle] and that its peer is not about to
-     * close; null if there is none.
+     * Removes and returns the most recently used connection that is [acceptable], if it has been idle for at most
+     * [maxIdle]; null if there is none. Connections that their peer is about to close are closed.
      */
-    fun take(now: Duration, maxIdle: Duration): C? {
+    fun take(now: Duration, maxIdle: Duration, acceptable: (C) -> Boolean = { true }): C? {
+        closeUnusable(now)
+        // The other connections have been idle even longer; they stay for requests with a larger maxIdle.
+        val newest = connections.lastOrNull(acceptable)?.takeIf { now - it.idleSince <= maxIdle } ?: return null
+        connections.remove(newest)
+        return newest
+    }
+
+    private fun closeUnusable(now: Duration) {
         while (true) {
-            val newest = connections.lastOrNull() ?: return null
-            if (newest.open && !isExpiring(newest, now)) {
-                // The other connections have been idle even longer; they stay for requests with a larger maxIdle.
-                return if (now - newest.idleSince <= maxIdle) connections.removeLast() else null
-            }
+            val newest = connections.lastOrNull() ?: return
+            if (newest.open && !isExpiring(newest, now)) return
             connections.removeLast().close()
         }
     }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnection.kt
@@ -23,8 +23,9 @@
 /**
  * One connection to an upstream; carries one request at a time. Must be used from its event loop only.
  *
- * A response belongs to the request whose id it echoes; one with another id is late and is skipped. Bytes that are
- * received while no request is in flight close the connection.
+ * A response belongs to the request whose id it echoes; one with another id is late and is skipped. Upstreams reject
+ * requests without echoing the id, so a connection that has brought such a response carries only requests that may run
+ * again. Bytes that are received while no request is in flight close the connection.
  *
  * A response without a length is whole only if the upstream closed its side of the connection behind it. The decoder
  * ends such a response also when the connection is reset or closed on this side, so [channel] must allow half closure:
@@ -56,6 +57,12 @@
     /** Whether a late response was skipped; more of them may follow, so the connection is not reused. */
     private var lateResponseSeen = false
 
+    /**
+     * Whether an answer named no request. A late copy of it could not be told from the answer to the request in flight.
+     */
+    var unidentifiedAnswerSeen: Boolean = false
+        private set
+
     /** When the upstream accepted this connection. */
     var openedAt: Duration = Duration.INFINITE
 
@@ -151,6 +158,7 @@
 
     private fun complete(response: HttpResponse) {
         val result = resultOf(response)
+        if (response.headers()[names.requestId] == null) unidentifiedAnswerSeen = true
         val reusable = allowsReuse(response) && !lateResponseSeen && result !is AttemptResult.Lost
         val callback = pendingResult
         pendingResult = null
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnectionPool.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnectionPool.kt
@@ -51,8 +51,7 @@
         maxIdle: Duration,
         onConnected: (openedAt: Duration) -> Unit = {},
     ): AttemptResult {
-        val connection =
-            idle[address]?.take(ticker.now(), maxIdle) ?: connect(address) ?: return AttemptResult.NotSent
+        val connection = takeIdle(address, outbound, maxIdle) ?: connect(address) ?: return AttemptResult.NotSent
         if (ticker.now() >= outbound.deadline || !outbound.maySend()) {
             addIdle(address, connection)
             return AttemptResult.Withheld
@@ -64,6 +63,9 @@
         }
     }
 
+    private fun takeIdle(address: String, outbound: UpstreamRequest, maxIdle: Duration): UpstreamConnection? =
+        idle[address]?.take(ticker.now(), maxIdle) { outbound.repeatable || !it.unidentifiedAnswerSeen }
+
     /** Tries to open a connection to [address], and adds it to the pool. */
     suspend fun tryConnect(address: String): ConnectResult {
         var result = ConnectResult.SILENT
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
@@ -283,7 +283,7 @@
 
     private suspend fun exchange(attempt: Attempt) {
         val row = attempt.row
-        val outbound = UpstreamRequest(request, deadline, row.id) {
+        val outbound = UpstreamRequest(request, deadline, row.id, route.kind.retryable) {
             handler.configurationAdmission.maySend(request.arrivedAt)
         }
         val maxIdle = if (route.kind.retryable) MAX_LINK_IDLE_IDEMPOTENT else MAX_LINK_IDLE
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/http/ResponseEndsSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/http/ResponseEndsSpec.kt
@@ -74,9 +74,10 @@
         val body = ByteArray(bodyBytes)
         val request =
             CallerRequest("POST", "/a/1", "a.example", headers, body, "id", "127.0.0.1", 10.seconds, 5.seconds)
+        val outbound = UpstreamRequest(request, 15.seconds, "u1", repeatable = true)
         serveOne(framing, received, end)
         return runBlocking(group.next().asCoroutineDispatcher()) {
-            withTimeoutOrNull(5_000) { pool.exchange(address, UpstreamRequest(request, 15.seconds, "u1"), 1.seconds) }
+            withTimeoutOrNull(5_000) { pool.exchange(address, outbound, 1.seconds) }
         }
     }
 
