--- a/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/HeldResourceMetrics.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/HeldResourceMetrics.kt
@@ -3,7 +3,7 @@
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 
-/** Gauges of what the requests in flight hold, read when they are scraped. */
+/** Gauges of what requests hold until their final answer, read when they are scraped. */
 internal class HeldResourceMetrics(private val registry: PrometheusRegistry, held: () -> HeldResources) {
     init {
         gauge("requests", "Requests without a final answer.") { held().requests }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/HeldResources.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/HeldResources.kt
@@ -1,7 +1,7 @@
 package io.poplarwood.gateway.metrics
 
 /**
- * What the requests in flight hold; all of it is zero when none is.
+ * What requests hold from their receipt to their final answer; all of it is zero while there is none.
  *
  * @property requests requests without a final answer
  * @property queued requests that wait for a slot
