--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnection.kt
@@ -1,5 +1,6 @@
 package io.poplarwood.gateway.http
 
+import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
@@ -135,16 +136,8 @@
     }
 
     private fun collect(content: HttpContent) {
-        val bytes = content.content().readableBytes().toLong()
-        if (skippingResponse) {
-            skippedBytes += bytes
-            if (skippedBytes > MAX_SKIPPED_BYTES) return fail(LossCause.GARBLED)
-        } else {
-            if (body.size + bytes > MAX_RESPONSE_BYTES) return fail(LossCause.GARBLED)
-            if (!memory.tryReserve(bytes)) return fail(LossCause.NO_MEMORY)
-            reservedBytes += bytes
-            body.append(content.content())
-        }
+        val problem = if (skippingResponse) skip(content.content()) else append(content.content())
+        if (problem != null) return fail(problem)
         if (content !is LastHttpContent) return
         val response = checkNotNull(responseHead)
         if (response.endsWithConnection && !channel.isActive) return failEnded()
@@ -156,6 +149,22 @@
         complete(response)
     }
 
+    /** Counts a piece of a late response; returns why the connection is given up, or null. */
+    private fun skip(piece: ByteBuf): LossCause? {
+        skippedBytes += piece.readableBytes()
+        return if (skippedBytes > MAX_SKIPPED_BYTES) LossCause.GARBLED else null
+    }
+
+    /** Adds a piece of the body; returns why the connection is given up, or null. */
+    private fun append(piece: ByteBuf): LossCause? {
+        val bytes = piece.readableBytes().toLong()
+        if (body.size + bytes > MAX_RESPONSE_BYTES) return LossCause.GARBLED
+        if (!memory.tryReserve(bytes)) return LossCause.NO_MEMORY
+        reservedBytes += bytes
+        body.append(piece)
+        return null
+    }
+
     private fun complete(response: HttpResponse) {
         val result = resultOf(response)
         if (response.headers()[names.requestId] == null) unidentifiedAnswerSeen = true
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerMessage.kt
@@ -40,8 +40,8 @@
      * @property stateVersion version of the desired state that the sender has
      * @property upstreamVersion store version of the newest change of a registration that the sender has
      * @property coveredVersion store version up to which the sender has every registration
-     * @property unchangedSince store version from which to [coveredVersion] no registration changed or was removed; null
-     * when the sender does not say
+     * @property unchangedSince store version from which to [coveredVersion] no registration changed or was removed;
+     * null when the sender does not say
      * @property confirmedMs time since the registrations were confirmed to be the newest, in milliseconds
      * @property stateReceived store version of the newest desired state that the sender has received, which it may be
      * unable to decode
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
@@ -91,12 +91,6 @@
         }
     }
 
-    private fun recordUnanswered(attempt: Attempt) {
-        val feedback = handler.attemptFeedback
-        if (answered) return feedback.attemptNotNeeded(attempt)
-        feedback.attemptAbandoned(attempt, request.fingerprint, ticker.now())
-    }
-
     /** Starts the first attempt; returns the final result if no attempt can be made, else null. */
     private suspend fun CoroutineScope.startFirstAttempt(): RequestResult? {
         val decision = withTimeoutOrNull(deadline - ticker.now()) { awaitSlot() }
@@ -276,32 +270,34 @@
         handler.loadBoard.scheduleUpdate(row)
         handler.attemptFeedback.attemptStarted(attempt, request.fingerprint, deadline)
         handler.reach.attemptStarted(attempt, row, job.serviceTime)
-        val job = launch { exchange(attempt) }
+        val job = launch {
+            val outbound = UpstreamRequest(request, deadline, row.id, route.kind.retryable) {
+                handler.configurationAdmission.maySend(request.arrivedAt)
+            }
+            val maxIdle = if (route.kind.retryable) MAX_LINK_IDLE_IDEMPOTENT else MAX_LINK_IDLE
+            attempt.result = handler.upstreamLinks.exchange(row.record.address, outbound, maxIdle) {
+                attempt.connectedAt = it
+            }
+            attempt.endedAt = ticker.now()
+            // Before the slot is granted to a queued request: the upstream may have become unusable.
+            handler.attemptFeedback.record(attempt, route, request.fingerprint)
+        }
         // A job that is cancelled before it starts never runs.
         job.invokeOnCompletion { onCompleted(attempt) }
     }
 
-    private suspend fun exchange(attempt: Attempt) {
-        val row = attempt.row
-        val outbound = UpstreamRequest(request, deadline, row.id, route.kind.retryable) {
-            handler.configurationAdmission.maySend(request.arrivedAt)
-        }
-        val maxIdle = if (route.kind.retryable) MAX_LINK_IDLE_IDEMPOTENT else MAX_LINK_IDLE
-        attempt.result = handler.upstreamLinks.exchange(row.record.address, outbound, maxIdle) {
-            attempt.connectedAt = it
-        }
-        attempt.endedAt = ticker.now()
-        // Before the slot is granted to a queued request: the upstream may have become unusable.
-        handler.attemptFeedback.record(attempt, route, request.fingerprint)
-    }
-
     /** Gives back what [attempt] held, whether it has begun or not. */
     private fun onCompleted(attempt: Attempt) {
         runningAttempts -= attempt
         releaseSlot(attempt.row)
-        if (attempt.result == null) return recordUnanswered(attempt)
-        finishedAttempts.addLast(attempt)
-        wakeUp.trySend(Unit)
+        when {
+            attempt.result != null -> {
+                finishedAttempts.addLast(attempt)
+                wakeUp.trySend(Unit)
+            }
+            answered -> handler.attemptFeedback.attemptNotNeeded(attempt)
+            else -> handler.attemptFeedback.attemptAbandoned(attempt, request.fingerprint, ticker.now())
+        }
     }
 
     private fun releaseSlot(row: UpstreamRow) {
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/StateExchange.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/StateExchange.kt
@@ -89,8 +89,8 @@
     private var scheduled = false
 
     /**
-     * Version of the registrations that the sender of [hello] has. An entry whose registrations nobody has confirmed for
-     * long may have missed a removal of which its peers, when all of them started after it, know only the absence.
+     * Version of the registrations that the sender of [hello] has. An entry whose registrations nobody has confirmed
+     * for long may have missed a removal of which its peers, when all of them started after it, know only the absence.
      */
     private fun registrationVersion(hello: PeerMessage.Hello): StoreVersion {
         val unchangedSince = hello.unchangedSince ?: return hello.upstreamVersion
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/peer/MissedRemovalSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/peer/MissedRemovalSpec.kt
@@ -88,7 +88,7 @@
         fun `when it does not reach the store`() = check(OTHERS, storeAnswers = false)
     }
 
-    /** Guards against a late update, of an entry that was held up, which brings back what was removed before a start. */
+    /** Guards against a late update which brings back what was removed before an entry started. */
     @Test
     fun `is not undone at an entry that has started by a late update`() = runTest {
         val cluster = cluster(1)
