Run the attempts of a request in a class of their own

Change: AttemptRunner starts attempts and gives back slots; RequestRun decides. No behaviour changes; also, a local name hid the estimate of the request.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
@@ -9,7 +9,6 @@
 import io.poplarwood.gateway.http.CallerRequest
 import io.poplarwood.gateway.http.LossCause
 import io.poplarwood.gateway.http.NotExecutedCause
-import io.poplarwood.gateway.http.UpstreamRequest
 import io.poplarwood.gateway.metrics.RetryReason
 import io.poplarwood.gateway.route.Route
 import io.poplarwood.gateway.upstream.UpstreamRow
@@ -17,12 +16,10 @@
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.suspendCancellableCoroutine
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * Executes one request: makes its attempts until the request has a final answer.
@@ -45,13 +42,12 @@
     private val job: RequestEstimate get() = RequestEstimate(decisions.workTimes.mean(route), request.body.size)
     private val secondAttempts = SecondAttempts(decisions, route, service, targetAt)
     private val triedUpstreams = HashSet<String>()
-    private val runningAttempts = ArrayList<Attempt>(2)
+    private val attempts = AttemptRunner(handler, request, route, service, report, deadline, ::onFinished)
     private val finishedAttempts = ArrayDeque<Attempt>()
     private val wakeUp = Channel<Unit>(Channel.CONFLATED)
     private var sentCount = 0
     private var connectFailures = 0
     private var finishRequested = false
-    private var answered = false
     private var pathLost = false
     private var handedOver = false
 
@@ -84,7 +80,7 @@
     suspend fun run(): RequestResult = coroutineScope {
         try {
             (startFirstAttempt() ?: awaitAttempts()).also {
-                answered = it.outcome == Outcome.ANSWERED && it.answer.status < FIRST_SERVER_ERROR
+                attempts.requestAnswered = it.outcome == Outcome.ANSWERED && it.answer.status < FIRST_SERVER_ERROR
             }
         } finally {
             coroutineContext.cancelChildren()
@@ -112,15 +108,15 @@
     private fun CoroutineScope.startOrRefuse(row: UpstreamRow): RequestResult? {
         val verdict = crashVerdict
         if (verdict != CrashVerdict.ADMITTED) {
-            releaseSlot(row)
+            attempts.releaseSlot(row)
             return evidence.refuse(Outcome.CRASHES, RequestHandler.retryAfterOf(verdict))
         }
         if (!handler.configurationAdmission.maySend(request.arrivedAt)) {
-            releaseSlot(row)
+            attempts.releaseSlot(row)
             return evidence.refuse(Outcome.BEHIND, RequestHandler.OTHER_ENTRY_RETRY_AFTER)
         }
         if (request.hop == null && handler.reach.isCut(service)) {
-            releaseSlot(row)
+            attempts.releaseSlot(row)
             return evidence.refuse(Outcome.NOT_SENT, DEFAULT_RETRY_AFTER)
         }
         startAttempt(row)
@@ -197,7 +193,7 @@
 
     /** Starts a further attempt if one is allowed and an upstream has a slot. Always returns null. */
     private suspend fun CoroutineScope.retry(reason: RetryReason): RequestResult? {
-        if (runningAttempts.isNotEmpty() || !mayRetry()) return null
+        if (attempts.running.isNotEmpty() || !mayRetry()) return null
         val now = ticker.now()
         val allowed = if (reason == RetryReason.NOT_SENT) {
             request.hop != null || !handler.reach.othersMayReach(service)
@@ -207,7 +203,7 @@
         if (!allowed) return null
         val decision = withTimeoutOrNull(deadline - now) { awaitSlot() } as? SlotDecision.Granted ?: return null
         if (crashVerdict != CrashVerdict.ADMITTED) {
-            releaseSlot(decision.row)
+            attempts.releaseSlot(decision.row)
             return null
         }
         handler.metrics.retryStarted(reason)
@@ -219,17 +215,17 @@
         ticker.now() < deadline && crashVerdict == CrashVerdict.ADMITTED
 
     private inline fun ifNothingRuns(result: () -> RequestResult): RequestResult? =
-        if (runningAttempts.isEmpty() && finishedAttempts.isEmpty()) result() else null
+        if (attempts.running.isEmpty() && finishedAttempts.isEmpty()) result() else null
 
     private fun nextSecondAttemptCheck(now: Duration): Duration {
-        val firstAttempt = runningAttempts.singleOrNull() ?: return Duration.INFINITE
+        val firstAttempt = attempts.running.singleOrNull() ?: return Duration.INFINITE
         if (!route.kind.retryable || !mayRetry()) return Duration.INFINITE
         return secondAttempts.nextCheckAt(firstAttempt, job, now)
     }
 
     /** Sends an idempotent request to a second upstream when the first one is slow or silent. */
     private fun CoroutineScope.considerSecondAttempt() {
-        val firstAttempt = runningAttempts.singleOrNull() ?: return
+        val firstAttempt = attempts.running.singleOrNull() ?: return
         if (!route.kind.retryable || !mayRetry()) return
         if (!handler.attemptFeedback.maySendSecond(request.fingerprint)) return
         val row = secondAttempts.select(firstAttempt, job, triedUpstreams, ticker.now()) ?: return
@@ -249,65 +245,27 @@
                 triedUpstreams,
                 relayed = request.hop != null,
             ) {
-                continuation.resume(it) { _, value, _ -> if (value is SlotDecision.Granted) releaseSlot(value.row) }
+                continuation.resume(it) { _, value, _ ->
+                    if (value is SlotDecision.Granted) attempts.releaseSlot(value.row)
+                }
             }
         continuation.invokeOnCancellation { slot.cancelled = true }
         decisions.place(slot, ticker.now())
     }
 
     private fun CoroutineScope.startAttempt(row: UpstreamRow) {
-        val now = ticker.now()
-        val attempt = Attempt(
-            row,
-            now,
-            Attempt.describeKnownState(row, now, decisions.crashSuspects.lossCount(request.fingerprint, now)),
-        )
-        report.attempts += attempt
-        report.confirmedMs = handler.configurationAdmission.confirmedMs
-        runningAttempts += attempt
         triedUpstreams += row.id
         sentCount++
-        handler.loadBoard.scheduleUpdate(row)
-        handler.attemptFeedback.attemptStarted(attempt, request.fingerprint, deadline)
-        handler.reach.attemptStarted(attempt, row, job.serviceTime)
-        val job = launch {
-            val outbound = UpstreamRequest(request, deadline, row.id, route.kind.retryable) {
-                handler.configurationAdmission.maySend(request.arrivedAt)
-            }
-            val maxIdle = if (route.kind.retryable) MAX_LINK_IDLE_IDEMPOTENT else MAX_LINK_IDLE
-            attempt.result = handler.upstreamLinks.exchange(row.record.address, outbound, maxIdle) {
-                attempt.connectedAt = it
-            }
-            attempt.endedAt = ticker.now()
-            // Before the slot is granted to a queued request: the upstream may have become unusable.
-            handler.attemptFeedback.record(attempt, route, request.fingerprint)
-        }
-        // A job that is cancelled before it starts never runs.
-        job.invokeOnCompletion { onCompleted(attempt) }
+        attempts.start(this, row, job.serviceTime)
     }
 
-    /** Gives back what [attempt] held, whether it has begun or not. */
-    private fun onCompleted(attempt: Attempt) {
-        runningAttempts -= attempt
-        releaseSlot(attempt.row)
-        when {
-            attempt.result != null -> {
-                finishedAttempts.addLast(attempt)
-                wakeUp.trySend(Unit)
-            }
-            answered -> handler.attemptFeedback.attemptNotNeeded(attempt)
-            else -> handler.attemptFeedback.attemptAbandoned(attempt, request.fingerprint, ticker.now())
-        }
-    }
-
-    private fun releaseSlot(row: UpstreamRow) {
-        row.ownInFlight--
-        handler.loadBoard.scheduleUpdate(row)
-        decisions.queue(service).dispatch(ticker.now())
+    private fun onFinished(attempt: Attempt) {
+        finishedAttempts.addLast(attempt)
+        wakeUp.trySend(Unit)
     }
 
     private fun finishUnanswered(): RequestResult {
-        for (attempt in runningAttempts) {
+        for (attempt in attempts.running) {
             if (ticker.now() - attempt.sentAt > MIN_SILENCE) decisions.suspicion.recordLoss(attempt.row, ticker.now())
         }
         return evidence.failure?.let(evidence::forward) ?: evidence.uncertain(Outcome.TIMED_OUT)
@@ -319,12 +277,6 @@
         /** Failed connection attempts after which no further upstream is tried. */
         const val MAX_CONNECT_FAILURES = 3
 
-        /** Network devices on the path may have dropped the state of a connection that was idle for longer. */
-        val MAX_LINK_IDLE_IDEMPOTENT = 9.seconds
-
-        /** Shorter, because a request that is not idempotent cannot be retried after its connection is lost. */
-        val MAX_LINK_IDLE = 4.seconds
-
         /** Share of a route's target latency that the entry may use; the rest is for the network to the caller. */
         const val TARGET_SHARE = 0.9
 
