Take version comparison, decoding and pending removals out of two long classes

Change: PeerVersions compares heartbeats, RegistrationVersions holds what an entry vouches for, DesiredStateDecoder and PendingRemovals have one job each, and the spec of a restored store stands apart. No check is changed, no behaviour either.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/peer/PeerGossip.kt
@@ -14,7 +14,6 @@
 import io.poplarwood.gateway.store.Topic
 import kotlinx.coroutines.CompletableDeferred
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -77,6 +76,7 @@
 
     /** Called when another entry has newer rows of the store. */
     var requestSync: () -> Unit = {}
+    private val peerVersions = PeerVersions(book, table, answers, ticker) { requestSync() }
     private var announcedVersions = ConfigurationVersion.NONE to StoreVersion.NONE
 
     override val pacing: QueryPacing
@@ -244,32 +244,13 @@
         if (hello.stopping && !wasStopping) log.log(GatewayEvent.PEER_LEAVING, hello.from)
         lateHeartbeats.record(hello, table[hello.from], ticker.now())
         hello.load?.let { loadGossip.receive(hello.from, it) }
-        compareVersions(hello)
+        peerVersions.compare(hello)
         crashGossip.sendIfDifferent(hello.crashes, hello.peers)
         if (hello.active && !wasActive) handleNewlyActive(hello)
         // An entry that has just started learns at once about this entry and its versions.
         if (isNew && roles.active) send(heartbeat(ticker.now(), HeartbeatPlan.ACTIVE_PERIOD), listOf(hello.peers))
     }
 
-    /** Compares the store versions of the sender with the own ones: requests newer rows or confirms the own ones. */
-    private fun compareVersions(hello: PeerMessage.Hello) {
-        book.observe(maxOf(hello.upstreamVersion, hello.stateAccepted))
-        // An entry that started after what this one has does not know what was removed in between.
-        val unchangedSince = hello.unchangedSince ?: hello.coveredVersion
-        if (unchangedSince <= book.coveredVersion) book.advanceCoveredVersion(hello.coveredVersion)
-        val sentAt = table.sentAt(hello)
-        answers.heard(hello, sentAt)
-        val lacksUpstreams = hello.upstreamVersion > book.upstreamVersion
-        val coversSender = hello.coveredVersion <= book.coveredVersion
-        if (coversSender && sentAt != null) book.confirm(sentAt - hello.confirmedMs.milliseconds)
-        val stateConfirmedAt = sentAt?.let { it - hello.stateConfirmedMs.milliseconds } ?: -Duration.INFINITE
-        // What the sender knows of the store changes nothing here: this entry has no older desired state than it.
-        if (hello.stateVersion <= book.stateVersion) book.freshness.accept(hello.stateAccepted)
-        val inForce = hello.stateVersion.row
-        book.freshness.heard(hello.from, inForce, hello.stateReceived, stateConfirmedAt, ticker.now())
-        if (lacksUpstreams || hello.stateVersion > book.stateVersion) requestSync()
-    }
-
     /**
      * Handles an entry that became active: entries of its zone send it a heartbeat, a standby entry of another zone
      * forwards [hello] to the active entries of its own zone.
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateReplica.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/store/StateReplica.kt
@@ -1,13 +1,11 @@
 package io.poplarwood.gateway.store
 
 import com.github.michaelbull.result.getOrElse
-import com.github.michaelbull.result.map
 import io.poplarwood.api.time.Ticker
 import io.poplarwood.gateway.configuration.BackgroundWork
 import io.poplarwood.gateway.configuration.Configuration
 import io.poplarwood.gateway.configuration.ConfigurationHistory
 import io.poplarwood.gateway.configuration.ConfigurationVersion
-import io.poplarwood.gateway.configuration.compute
 import io.poplarwood.gateway.log.EventLog
 import io.poplarwood.gateway.log.GatewayEvent
 import io.poplarwood.gateway.route.DesiredState
@@ -32,7 +30,7 @@
 internal class StateReplica(
     private val codec: StateCodec,
     private val upstreams: UpstreamTable,
-    private val background: BackgroundWork,
+    background: BackgroundWork,
     private val ticker: Ticker,
     private val log: EventLog,
     private val onChanged: () -> Unit,
@@ -41,7 +39,7 @@
     private val onEnded: (UpstreamRow) -> Unit = {},
 ) {
     private val upstreamRows = TreeMap<String, StoredRow>()
-    private val pendingRemoval = HashMap<String, Duration>()
+    private val pendingRemovals = PendingRemovals()
     private val removedVersions = RecentVersions(MAX_REMOVED_VERSIONS)
     private val returning = ReturningRegistrations(registrationExpiry)
     private var newestSeen = StoreVersion.NONE
@@ -55,6 +53,8 @@
     /** What is known about the age of [state]. */
     val freshness: ConfigurationFreshness = ConfigurationFreshness()
 
+    private val decoder = DesiredStateDecoder(codec, background, history, freshness, ticker, log)
+
     /** The desired state in force; null until the first one has arrived. */
     val state: DesiredState? get() = history.newest?.state
 
@@ -64,22 +64,16 @@
     /** Version of [state]; [ConfigurationVersion.NONE] until there is one. */
     val stateVersion: ConfigurationVersion get() = history.newest?.version ?: ConfigurationVersion.NONE
 
+    private val versions = RegistrationVersions()
+
     /** Store version of the newest change of a registration. */
-    var upstreamVersion: StoreVersion = StoreVersion.NONE
-        private set
+    val upstreamVersion: StoreVersion get() = versions.newest
 
     /** Store version up to which every registration has arrived. */
-    var coveredVersion: StoreVersion = StoreVersion.NONE
-        private set
-
-    /**
-     * Store version after which every change of a registration has been seen here. A list of all registrations does
-     * not show what was removed before it.
-     */
-    private var changesSeenAfter = StoreVersion.NONE
+    val coveredVersion: StoreVersion get() = versions.covered
 
     /** Store version from which to [coveredVersion] no registration changed or was removed. */
-    val unchangedSince: StoreVersion get() = maxOf(upstreamVersion, changesSeenAfter)
+    val unchangedSince: StoreVersion get() = versions.unchangedSince
 
     /** When this entry or a peer last confirmed that the registrations are the newest. */
     var confirmedAt: Duration = -Duration.INFINITE
@@ -108,7 +102,7 @@
         for (row in rows.rows) {
             val value = row.value
             if (value != null && row.version > freshness.acceptedVersion) {
-                decode(row, value, source)?.let { applyState(it, source) }
+                decoder.decode(row, value, source)?.let { applyState(it, source) }
             }
         }
     }
@@ -128,21 +122,6 @@
         notifyChanged()
     }
 
-    private suspend fun decode(row: StoredRow, value: ByteArray, source: String): Configuration? {
-        val startedAt = ticker.now()
-        val earlier = history.newest
-        val decoded = background.compute {
-            codec.desiredState(value).map { Configuration(it, row.version).sharing(earlier) }
-        }
-        val configuration = decoded.getOrElse {
-            val isNew = freshness.reject(row.version, startedAt, source)
-            if (isNew) log.log(GatewayEvent.STATE_UNREADABLE, it.detail, row.version)
-            return null
-        }
-        log.log(GatewayEvent.STATE_DECODED, row.version, value.size, (ticker.now() - startedAt).inWholeMilliseconds)
-        return configuration
-    }
-
     /**
      * Applies a full set of registrations; those that are missing have been removed.
      *
@@ -159,8 +138,8 @@
         val missing = upstreamRows.values.filter { it.key !in present && it.version <= rows.version }.map { it.key }
         missing.forEach { handleRemoval(it, rows.version, source) }
         val removalVersion = if (missing.isEmpty()) StoreVersion.NONE else rows.version
-        if (rows.version > coveredVersion) changesSeenAfter = rows.version
-        advanceVersions(rows, newest ?: maxOf(removalVersion, newestVersion(rows)))
+        versions.listed(rows.version)
+        advanceVersions(rows, newest ?: maxOf(removalVersion, rows.newestRow))
     }
 
     /**
@@ -177,16 +156,14 @@
     ): Boolean {
         observe(rows.version)
         // An older row that the list of all registrations did not have was removed before.
-        for (row in rows.rows) if (row.version > changesSeenAfter) applyUpstream(row, source)
+        for (row in rows.rows) if (row.version > versions.listedAt) applyUpstream(row, source)
         val complete = after <= coveredVersion
-        if (complete) advanceVersions(rows, newest ?: newestVersion(rows)) else onChanged()
+        if (complete) advanceVersions(rows, newest ?: rows.newestRow) else onChanged()
         return complete
     }
 
     /** Records that no registration changed up to [version]. */
-    fun advanceCoveredVersion(version: StoreVersion) {
-        coveredVersion = maxOf(coveredVersion, version)
-    }
+    fun advanceCoveredVersion(version: StoreVersion) = versions.cover(version)
 
     /** Logs the first registrations in one line, since one line each takes much of the processor time of a start. */
     private fun logFirst(rows: RowSnapshot, source: String) {
@@ -194,14 +171,9 @@
         log.log(GatewayEvent.UPSTREAMS_READ, rows.rows.size, upstreams.all.size, draining, source, rows.version)
     }
 
-    private fun newestVersion(rows: RowSnapshot): StoreVersion =
-        rows.rows.maxOfOrNull { it.version } ?: StoreVersion.NONE
-
     private fun advanceVersions(rows: RowSnapshot, newest: StoreVersion) {
-        coveredVersion = maxOf(coveredVersion, rows.version)
-        if (newest <= upstreamVersion) return
-        upstreamVersion = newest
-        notifyChanged()
+        versions.cover(rows.version)
+        if (versions.changed(newest)) notifyChanged()
     }
 
     /** Records that the registrations were confirmed to be the newest at [at]. */
@@ -219,12 +191,7 @@
             row.value?.let { use(row, it, null, logged = true) }
             onChanged()
         }
-        if (pendingRemoval.isEmpty()) return
-        val now = ticker.now()
-        pendingRemoval.filterValues { it <= now }.keys.toList().forEach {
-            pendingRemoval.remove(it)
-            remove(it, "lapsed", upstreamVersion)
-        }
+        pendingRemovals.takeDue(ticker.now()).forEach { remove(it, "lapsed", upstreamVersion) }
     }
 
     /** Up to [limit] registrations in the order of their keys, beginning behind the key [after]. */
@@ -236,7 +203,7 @@
      * not known, or no longer.
      */
     fun upstreamChanges(covered: StoreVersion): List<StoredRow>? {
-        val removalsKnownAfter = maxOf(changesSeenAfter, removedVersions.droppedUpTo)
+        val removalsKnownAfter = maxOf(versions.listedAt, removedVersions.droppedUpTo)
         if (covered < removalsKnownAfter || covered == StoreVersion.NONE) return null
         val removed = removedVersions.after(covered).filterKeys { it !in upstreamRows }
         return upstreamRows.values.filter { it.version > covered } +
@@ -255,7 +222,7 @@
         if (maxOf(current?.version ?: StoreVersion.NONE, removedVersions[row.key]) >= row.version) return
         val value = row.value ?: return handleRemoval(row.key, row.version, source)
         upstreamRows[row.key] = row
-        val wasInUse = pendingRemoval.remove(row.key) != null || current != null
+        val wasInUse = pendingRemovals.cancel(row.key) || current != null
         if (!wasInUse && cameBackWithCopy(row)) return returning.hold(row.key, ticker.now())
         returning.release(row.key)
         use(row, value, current, logged)
@@ -305,7 +272,7 @@
         val now = ticker.now()
         val answeredLately = now - row.lastAnswerAt < RECENT_ANSWER
         if (now < expiryGraceUntil && answeredLately && !row.record.draining) {
-            pendingRemoval[key] = now + EXPIRY_GRACE
+            pendingRemovals.add(key, now)
         } else {
             remove(key, "removed, update of $source", version)
         }
@@ -319,10 +286,6 @@
     }
 
     private companion object {
-        /**
-         * The registrations of running upstreams that expired are renewed within two seconds after the store returns.
-         */
-        val EXPIRY_GRACE = 1_700.milliseconds
         val RECENT_ANSWER = 3_000.milliseconds
 
         /** Upstreams have written again what a restored store lost by then. */
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/store/StateReplicaSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/store/StateReplicaSpec.kt
@@ -4,20 +4,7 @@
 import ch.qos.logback.classic.Logger
 import ch.qos.logback.classic.spi.ILoggingEvent
 import ch.qos.logback.core.read.ListAppender
-import com.github.michaelbull.result.Err
-import com.github.michaelbull.result.Ok
-import com.github.michaelbull.result.Result
-import io.poplarwood.api.time.Ticker
-import io.poplarwood.gateway.log.EventLog
-import io.poplarwood.gateway.route.CallerLimits
-import io.poplarwood.gateway.route.DesiredState
-import io.poplarwood.gateway.route.RouteTable
 import io.poplarwood.gateway.support.storeVersion
-import io.poplarwood.gateway.support.upstream
-import io.poplarwood.gateway.upstream.AvailabilityState
-import io.poplarwood.gateway.upstream.Upstream
-import io.poplarwood.gateway.upstream.UpstreamTable
-import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.BeforeEach
@@ -28,35 +15,9 @@
 import kotlin.test.assertFalse
 import kotlin.test.assertNotNull
 import kotlin.test.assertNull
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-class StateReplicaSpec {
-    private var now: Duration = 100.seconds
-    private val upstreams = UpstreamTable()
-    private val unavailable = ArrayList<String>()
-    private val book =
-        StateReplica(Codec, upstreams, { it() }, Ticker { now }, EventLog(), {}, { unavailable += it.id })
-
-    /** The value of a row is the version of a desired state or the state of an upstream, as text. */
-    private object Codec : StateCodec {
-        override fun desiredState(value: ByteArray): Result<DesiredState, StoreError.Malformed> {
-            val version = value.decodeToString().toLongOrNull() ?: return Err(StoreError.Malformed("not a number"))
-            return Ok(DesiredState(version, persistentMapOf(), RouteTable.EMPTY, CallerLimits()))
-        }
-
-        override fun upstream(key: String, value: ByteArray): Result<Upstream, StoreError.Malformed> =
-            when (value.decodeToString()) {
-                "ready" -> Ok(upstream(key))
-                "draining" -> Ok(upstream(key, draining = true))
-                else -> Err(StoreError.Malformed("unknown state"))
-            }
-    }
-
-    private fun row(key: String, value: String?, version: Long) =
-        StoredRow(key, value?.encodeToByteArray(), storeVersion(version))
-
+internal class StateReplicaSpec : ReplicaFixture() {
     private fun state(value: String, version: Long) = runBlocking {
         book.applyStateRows(RowSnapshot(listOf(row("c", value, version)), storeVersion(version)), "s")
     }
@@ -187,105 +148,6 @@
         }
     }
 
-    @Nested
-    inner class `a store that came back from an older copy` {
-        private fun inEra(era: Long, key: String, value: String?, change: Long) =
-            StoredRow(key, value?.encodeToByteArray(), StoreVersion(era, change))
-
-        private fun applyAll(era: Long, change: Long, vararg rows: StoredRow) =
-            book.applyAllUpstreams(RowSnapshot(rows.toList(), StoreVersion(era, change)), "s")
-
-        private fun stateOf(era: Long, value: String, change: Long) = runBlocking {
-            val version = StoreVersion(era, change)
-            book.applyStateRows(RowSnapshot(listOf(inEra(era, "c", value, change)), version), "s")
-        }
-
-        /** Guards against changes that count as old because the store gives out their numbers again. */
-        @Test
-        fun `has changes that are newer although their numbers are lower`() {
-            stateOf(1, "5", 100)
-            stateOf(2, "4", 60)
-            assertEquals(5, book.state?.version)
-            stateOf(2, "6", 61)
-            assertEquals(6, book.state?.version)
-        }
-
-        /** Guards against an entry that counts as behind because peers have read the older desired state. */
-        @Test
-        fun `leaves an entry up to date whose peers have read an older desired state`() {
-            stateOf(1, "5", 100)
-            book.freshness.accept(StoreVersion(2, 60))
-            book.freshness.heard("p", StoreVersion(1, 100), StoreVersion(2, 60), now, now)
-            assertEquals(now, book.freshness.confirmedAt)
-            assertNull(book.freshness.behind)
-        }
-
-        /** Guards against requests to an upstream that had announced to leave. */
-        @Test
-        fun `does not make a draining upstream ready again`() {
-            applyAll(1, 100, inEra(1, "a", "ready", 5))
-            book.applyUpstreamChanges(
-                RowSnapshot(listOf(inEra(1, "a", "draining", 101)), StoreVersion(1, 101)),
-                StoreVersion(1, 100),
-                "s",
-            )
-            applyAll(2, 60, inEra(2, "a", "ready", 5))
-            assertEquals(AvailabilityState.LEAVING, upstreams["a"]?.availability?.state(now))
-        }
-
-        /** Guards against requests to an upstream that has left and came back with the copy. */
-        @Test
-        fun `does not use an upstream that was removed before its registration should have expired again`() {
-            applyAll(1, 100, inEra(1, "a", "ready", 5), inEra(1, "b", "ready", 6))
-            applyAll(1, 101, inEra(1, "b", "ready", 6))
-            applyAll(2, 60, inEra(2, "a", "ready", 5), inEra(2, "b", "ready", 6))
-            assertNull(upstreams["a"])
-            book.confirm(now + 5_499.milliseconds)
-            book.checkExpiry()
-            assertNull(upstreams["a"])
-            book.confirm(now + 5_500.milliseconds)
-            book.checkExpiry()
-            assertNotNull(upstreams["a"])
-        }
-
-        @Test
-        fun `uses an upstream that was removed and has registered again since`() {
-            applyAll(1, 100, inEra(1, "a", "ready", 5))
-            applyAll(1, 101)
-            applyAll(2, 60, inEra(2, "a", "ready", 5))
-            book.applyUpstreamChanges(
-                RowSnapshot(listOf(inEra(2, "a", "ready", 61)), StoreVersion(2, 61)),
-                StoreVersion(2, 60),
-                "s",
-            )
-            assertNotNull(upstreams["a"])
-        }
-
-        /** Guards against an answer of the lost era that arrives late and brings back what was lost. */
-        @Test
-        fun `is not changed by late news of the earlier era`() {
-            applyAll(1, 100, inEra(1, "a", "ready", 5))
-            applyAll(2, 60, inEra(2, "a", "ready", 5))
-            val late = RowSnapshot(listOf(inEra(1, "b", "ready", 101)), StoreVersion(1, 101))
-            book.applyUpstreamChanges(late, StoreVersion(1, 100), "p")
-            assertNull(upstreams["b"])
-            assertEquals(StoreVersion(2, 60), book.coveredVersion)
-        }
-
-        @Test
-        fun `is noticed once for each era`() {
-            var noticed = 0
-            book.onRestored = { noticed++ }
-            applyAll(1, 100, inEra(1, "a", "ready", 5))
-            assertEquals(0, noticed)
-            book.observe(StoreVersion(2, 60))
-            applyAll(2, 60, inEra(2, "a", "ready", 5))
-            assertEquals(1, noticed)
-            book.observe(StoreVersion(3, 50))
-            assertEquals(2, noticed)
-        }
-    }
-
     @Nested
     inner class `changes for a peer` {
         private fun applyAll(
