Pass the clock to the measurements of configurations and restores

Cause: six classes of the benches read System.nanoTime() themselves. Change: they get a Ticker, SystemTicker at the wiring and in the specs. Not changed: ProcessorShare, EchoLoad and DecisionCostBench still read it themselves. No check is changed.

--- a/bench/src/main/kotlin/io/poplarwood/bench/Benches.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/Benches.kt
@@ -14,6 +14,7 @@
 import io.poplarwood.bench.restores.RestoresBench
 import io.poplarwood.bench.routing.RoutingBench
 import io.poplarwood.bench.slopes.SlopesBench
+import io.poplarwood.entry.node.SystemTicker
 
 /** All measurements in the order of `bench --list`. */
 object Benches {
@@ -24,8 +25,8 @@
         BudgetBench(),
         OverheadBench(),
         ConfigBench(),
-        ConfigurationsBench(),
-        RestoresBench(),
+        ConfigurationsBench(SystemTicker),
+        RestoresBench(SystemTicker),
         DrainBench(),
         FaultsBench(),
         DeepBench(),
--- a/bench/src/main/kotlin/io/poplarwood/bench/configurations/ConfigurationChanges.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/configurations/ConfigurationChanges.kt
@@ -1,10 +1,11 @@
 package io.poplarwood.bench.configurations
 
+import io.poplarwood.api.time.Ticker
 import io.poplarwood.platform.standin.StandInCell
 import java.util.concurrent.CopyOnWriteArrayList
 
 /** Writes versions of the configuration to the store of [cell]. Routes are added or changed, never removed. */
-internal class ConfigurationChanges(private val cell: StandInCell) {
+internal class ConfigurationChanges(private val cell: StandInCell, private val ticker: Ticker) {
     private val routes = ArrayList<String>()
     private val sent = CopyOnWriteArrayList<SentVersion>()
 
@@ -45,7 +46,7 @@
     private fun send(version: Int, newestRoute: String) {
         val service = if (version % 2 == 0) "s2" else "s1"
         write(version, service)
-        sent += SentVersion(version, System.nanoTime(), "${newestRoute}x", service)
+        sent += SentVersion(version, ticker.nowNs, "${newestRoute}x", service)
     }
 
     private fun write(version: Int, service: String) =
--- a/bench/src/main/kotlin/io/poplarwood/bench/configurations/ConfigurationsBench.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/configurations/ConfigurationsBench.kt
@@ -1,6 +1,7 @@
 package io.poplarwood.bench.configurations
 
 import io.poplarwood.api.random.SplitMix
+import io.poplarwood.api.time.Ticker
 import io.poplarwood.bench.api.Bench
 import io.poplarwood.bench.api.BenchCheck
 import io.poplarwood.bench.api.BenchOptions
@@ -16,7 +17,7 @@
  * Large configurations at entries that are processes with small processors and links: how long readiness checks and
  * callers wait while a version is taken in, and when it is in force.
  */
-class ConfigurationsBench : Bench {
+class ConfigurationsBench(private val ticker: Ticker) : Bench {
     override val name = "configurations"
     override val summary = "readiness and requests while entries with 0.3 of a core take in thousands of routes"
 
@@ -43,8 +44,8 @@
                 cell.startUpstream("$service-$number", service, slots = SLOTS) { Reaction.reply(it, body = service) }
             }
         }
-        val changes = ConfigurationChanges(cell).apply { add(FIRST_ROUTES) }
-        val results = WatchResults()
+        val changes = ConfigurationChanges(cell, ticker).apply { add(FIRST_ROUTES) }
+        val results = WatchResults(ticker)
         val entries = shapes(options, random).mapIndexed { number, shape ->
             EntryVm("e$number", "z${number % ZONES + 1}", shape, cell, shares, directory)
         }
@@ -52,7 +53,9 @@
         Runtime.getRuntime().addShutdownHook(closeEntries)
         try {
             entries.forEach { it.start() }
-            val watches = entries.map { EntryWatch(it, changes, results::record) { SplitMix(random.nextLong()) } }
+            val watches = entries.map {
+                EntryWatch(it, changes, ticker, results::record) { SplitMix(random.nextLong()) }
+            }
             awaitReady(entries)
             ChangePlan(entries, changes, random, results::begin).run(options.quick)
             watches.forEach { it.close() }
@@ -80,9 +83,9 @@
     }
 
     private fun awaitReady(entries: List<EntryVm>) {
-        val from = System.nanoTime()
+        val from = ticker.nowNs
         while (entries.any { it.readyAtNs == null }) {
-            check(System.nanoTime() - from < START_LIMIT_NS) { "not all entries are ready after 60 s" }
+            check(ticker.nowNs - from < START_LIMIT_NS) { "not all entries are ready after 60 s" }
             Thread.sleep(WARM_UP_STEP_MS)
         }
         Thread.sleep(WARM_UP_MS)
--- a/bench/src/main/kotlin/io/poplarwood/bench/configurations/EntryVm.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/configurations/EntryVm.kt
@@ -41,7 +41,7 @@
     var starts: Int = 0
         private set
 
-    /** When the running process first answered that it is ready, by [System.nanoTime]; null before. */
+    /** When the running process first answered that it is ready, as a reading of the bench's clock; null before. */
     @Volatile
     var readyAtNs: Long? = null
 
--- a/bench/src/main/kotlin/io/poplarwood/bench/configurations/EntryWatch.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/configurations/EntryWatch.kt
@@ -1,6 +1,7 @@
 package io.poplarwood.bench.configurations
 
 import io.poplarwood.api.random.RandomSource
+import io.poplarwood.api.time.Ticker
 import io.poplarwood.platform.standin.StandInCaller
 import java.io.IOException
 import java.util.Collections
@@ -10,6 +11,7 @@
 internal class EntryWatch(
     private val entry: EntryVm,
     private val changes: ConfigurationChanges,
+    private val ticker: Ticker,
     private val record: (Sample) -> Unit,
     randoms: () -> RandomSource,
 ) : AutoCloseable {
@@ -36,14 +38,14 @@
         while (!closed) {
             val starts = entry.starts
             val readyAtNs = entry.readyAtNs
-            val fromNs = unansweredSinceNs ?: System.nanoTime()
+            val fromNs = unansweredSinceNs ?: ticker.nowNs
             val status = try {
                 StandInCaller(entry.readiness).use { it.call("GET", StandInCaller.READINESS_PATH, "ready").status }
             } catch (e: IOException) {
                 0
             }
             unansweredSinceNs = null
-            if (entry.starts == starts && readyAtNs == null && status == Sample.OK) entry.readyAtNs = System.nanoTime()
+            if (entry.starts == starts && readyAtNs == null && status == Sample.OK) entry.readyAtNs = ticker.nowNs
             if (entry.starts == starts && readyAtNs != null) {
                 if (status == Sample.OK) recordReadiness(readyAtNs, fromNs, status) else unansweredSinceNs = fromNs
             }
@@ -53,7 +55,7 @@
     }
 
     private fun recordReadiness(readyAtNs: Long, fromNs: Long, status: Int) =
-        record(Sample(entry, readyAtNs, Question.READINESS, fromNs, System.nanoTime() - fromNs, status))
+        record(Sample(entry, readyAtNs, Question.READINESS, fromNs, ticker.nowNs - fromNs, status))
 
     private fun askRoutes(question: Question, random: RandomSource) {
         var caller: StandInCaller? = null
@@ -64,7 +66,7 @@
             val readyAtNs = entry.readyAtNs ?: continue
             val version = changes.newest
             val path = if (question == Question.OLD_ROUTE) OLD_PATH else version.newestRoute
-            val sentNs = System.nanoTime()
+            val sentNs = ticker.nowNs
             val reply = try {
                 (caller ?: StandInCaller(entry.callers)).also { caller = it }
                     .call("GET", path, "${entry.name}-$question-${number++}")
@@ -73,7 +75,7 @@
                 caller = null
                 null
             }
-            val waitNs = System.nanoTime() - sentNs
+            val waitNs = ticker.nowNs - sentNs
             val outdated = isOutdated(question, sentNs, reply)
             if (entry.starts != starts) continue
             record(Sample(entry, readyAtNs, question, sentNs, waitNs, reply?.status ?: 0, version, outdated))
--- a/bench/src/main/kotlin/io/poplarwood/bench/configurations/WatchResults.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/configurations/WatchResults.kt
@@ -1,9 +1,10 @@
 package io.poplarwood.bench.configurations
 
+import io.poplarwood.api.time.Ticker
 import java.util.concurrent.ConcurrentLinkedQueue
 
 /** What the watches recorded, by series. */
-internal class WatchResults {
+internal class WatchResults(private val ticker: Ticker) {
     private class Span(val series: Series, val fromNs: Long)
 
     private val spans = ArrayList<Span>()
@@ -15,7 +16,7 @@
     /** Samples from now on belong to [series]; those before the first call are not kept. */
     fun begin(series: Series) {
         if (spans.isEmpty()) samples.clear()
-        spans += Span(series, System.nanoTime())
+        spans += Span(series, ticker.nowNs)
     }
 
     /** Keeps [sample]. */
--- a/bench/src/main/kotlin/io/poplarwood/bench/restores/LeavingUpstreams.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/restores/LeavingUpstreams.kt
@@ -1,5 +1,7 @@
 package io.poplarwood.bench.restores
 
+import io.poplarwood.api.time.Ticker
+import io.poplarwood.bench.configurations.nowNs
 import io.poplarwood.platform.standin.Reaction
 import io.poplarwood.platform.standin.StandInCell
 import io.poplarwood.platform.standin.StandInUpstream
@@ -7,7 +9,7 @@
 import java.util.concurrent.atomic.AtomicInteger
 
 /** Upstreams that announce that they are draining, and go on serving what they get. */
-internal class LeavingUpstreams(private val cell: StandInCell) {
+internal class LeavingUpstreams(private val cell: StandInCell, private val ticker: Ticker) {
     private val waiting = ArrayDeque<StandInUpstream>()
     private val announcedNs = ConcurrentHashMap<String, Long>()
     private val late = AtomicInteger()
@@ -19,7 +21,7 @@
     fun start(count: Int, service: String) = repeat(count) { number ->
         val id = "leaving-$number"
         waiting += cell.startUpstream(id, service) {
-            val since = announcedNs[id]?.let { announced -> System.nanoTime() - announced } ?: 0
+            val since = announcedNs[id]?.let { announced -> ticker.nowNs - announced } ?: 0
             if (since > DRAIN_BOUND_NS) late.incrementAndGet()
             Reaction.reply(it, body = service)
         }
@@ -29,7 +31,7 @@
     fun leave(): Boolean {
         val upstream = waiting.removeFirstOrNull() ?: return false
         announce(upstream)
-        announcedNs[upstream.id] = System.nanoTime()
+        announcedNs[upstream.id] = ticker.nowNs
         return true
     }
 
--- a/bench/src/main/kotlin/io/poplarwood/bench/restores/RestoresBench.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/restores/RestoresBench.kt
@@ -1,6 +1,7 @@
 package io.poplarwood.bench.restores
 
 import io.poplarwood.api.random.SplitMix
+import io.poplarwood.api.time.Ticker
 import io.poplarwood.bench.api.Bench
 import io.poplarwood.bench.api.BenchCheck
 import io.poplarwood.bench.api.BenchOptions
@@ -13,6 +14,7 @@
 import io.poplarwood.bench.configurations.ProcessorShare
 import io.poplarwood.bench.configurations.Sample
 import io.poplarwood.bench.configurations.VmShape
+import io.poplarwood.bench.configurations.nowNs
 import io.poplarwood.platform.standin.Reaction
 import io.poplarwood.platform.standin.StandInCell
 import java.nio.file.Files
@@ -20,7 +22,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue
 
 /** A store that comes back from older copies again and again, at entries that are processes. */
-class RestoresBench : Bench {
+class RestoresBench(private val ticker: Ticker) : Bench {
     override val name = "restores"
     override val summary = "changes and draining upstreams at entries whose store comes back from older copies"
 
@@ -42,8 +44,8 @@
                 cell.startUpstream("$service-$number", service) { Reaction.reply(it, body = service) }
             }
         }
-        val leaving = LeavingUpstreams(cell).apply { start(LEAVING, "s1") }
-        val changes = ConfigurationChanges(cell).apply { add(FIRST_ROUTES) }
+        val leaving = LeavingUpstreams(cell, ticker).apply { start(LEAVING, "s1") }
+        val changes = ConfigurationChanges(cell, ticker).apply { add(FIRST_ROUTES) }
         val samples = ConcurrentLinkedQueue<Sample>()
         val entries = List(ENTRIES) {
             EntryVm("e$it", "z${it % ZONES + 1}", VmShape(1.0, LINK_MBPS, 0, 0.0), cell, shares, directory)
@@ -52,7 +54,7 @@
         Runtime.getRuntime().addShutdownHook(closeEntries)
         try {
             entries.forEach { it.start() }
-            val watches = entries.map { EntryWatch(it, changes, samples::add) { SplitMix(random.nextLong()) } }
+            val watches = entries.map { EntryWatch(it, changes, ticker, samples::add) { SplitMix(random.nextLong()) } }
             awaitReady(entries)
             samples.clear()
             val plan = RestorePlan(entries, cell.store, changes, leaving, random)
@@ -69,9 +71,9 @@
     }
 
     private fun awaitReady(entries: List<EntryVm>) {
-        val from = System.nanoTime()
+        val from = ticker.nowNs
         while (entries.any { it.readyAtNs == null }) {
-            check(System.nanoTime() - from < START_LIMIT_NS) { "not all entries are ready after 60 s" }
+            check(ticker.nowNs - from < START_LIMIT_NS) { "not all entries are ready after 60 s" }
             Thread.sleep(WARM_UP_STEP_MS)
         }
         Thread.sleep(WARM_UP_MS)
--- a/bench/src/test/kotlin/io/poplarwood/bench/configurations/ConfigurationsBenchSpec.kt
+++ b/bench/src/test/kotlin/io/poplarwood/bench/configurations/ConfigurationsBenchSpec.kt
@@ -1,6 +1,7 @@
 package io.poplarwood.bench.configurations
 
 import io.poplarwood.bench.api.BenchOptions
+import io.poplarwood.entry.node.SystemTicker
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Tag
@@ -10,7 +11,9 @@
 /** Entries as processes, some with 0.3 of a core and a link of 7 to 10 Mbit/s, while thousands of routes are added. */
 class ConfigurationsBenchSpec {
     private fun missed(seed: Long) =
-        runBlocking { ConfigurationsBench().run(BenchOptions(seed, quick = true)) }.checks.filterNot { it.met }
+        runBlocking {
+            ConfigurationsBench(SystemTicker).run(BenchOptions(seed, quick = true))
+        }.checks.filterNot { it.met }
 
     @Nested
     inner class `large configurations at small entries` {
--- a/bench/src/test/kotlin/io/poplarwood/bench/restores/RestoresBenchSpec.kt
+++ b/bench/src/test/kotlin/io/poplarwood/bench/restores/RestoresBenchSpec.kt
@@ -1,6 +1,7 @@
 package io.poplarwood.bench.restores
 
 import io.poplarwood.bench.api.BenchOptions
+import io.poplarwood.entry.node.SystemTicker
 import kotlinx.coroutines.runBlocking
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -11,7 +12,7 @@
      */
     @Test
     fun `a store that comes back older changes nothing that was acknowledged`() {
-        val report = runBlocking { RestoresBench().run(BenchOptions(seed = 1, quick = true)) }
+        val report = runBlocking { RestoresBench(SystemTicker).run(BenchOptions(seed = 1, quick = true)) }
         assertEquals(emptyList(), report.checks.filterNot { it.met })
     }
 }
