--- a/bench/src/main/kotlin/io/poplarwood/bench/Benches.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/Benches.kt
@@ -1,5 +1,6 @@
 package io.poplarwood.bench
 
+import io.poplarwood.bench.answers.AnswersBench
 import io.poplarwood.bench.api.Bench
 import io.poplarwood.bench.budget.BudgetBench
 import io.poplarwood.bench.config.ConfigBench
@@ -27,6 +28,7 @@
         ConfigBench(),
         ConfigurationsBench(SystemTicker),
         RestoresBench(SystemTicker),
+        AnswersBench(SystemTicker),
         DrainBench(),
         FaultsBench(),
         DeepBench(),
