Show how answers of upstreams are matched, and which connection carried an attempt

Nothing told the hypotheses of docs/incidents/mixed-repeated-ids.md apart: the log names upstreams, not connections, and late answers were not counted.

Change, without any in what is done: a counter of answers by match (own, late, unnamed, idle), a counter of requests whose id their connection has carried before, the connection and the position on it in the `trail` of a request, and `shed-unnamed` for a rejection without an id.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/AttemptResult.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/AttemptResult.kt
@@ -15,11 +15,16 @@
         val notice: UpstreamNotice,
     ) : AttemptResult
 
-    /** The upstream replied that it did not run the request. */
+    /**
+     * The upstream replied that it did not run the request.
+     *
+     * @property named whether the reply names the request
+     */
     class NotExecuted(
         val cause: NotExecutedCause,
         val load: LoadReport?,
         val notice: UpstreamNotice,
+        val named: Boolean,
     ) : AttemptResult
 
     /** No connection could be opened, so nothing was sent. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnection.kt
@@ -1,19 +1,15 @@
 package io.poplarwood.gateway.http
 
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.socket.ChannelInputShutdownEvent
-import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
-import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import io.poplarwood.api.time.Ticker
@@ -35,6 +31,9 @@
  * @param onIdle called when the connection can carry another request
  * @param onClosed called when the connection has been closed
  * @param memory for responses that are not complete yet
+ * @param number identifies the connection among those of its pool
+ * @param onAnswer called with each answer, once it is known to which request it belongs
+ * @param onRepeatedId called when a request is sent whose id the connection has carried before
  */
 internal class UpstreamConnection(
     private val channel: Channel,
@@ -44,6 +43,9 @@
     private val onClosed: (UpstreamConnection) -> Unit,
     private val decoder: UpstreamResponseDecoder,
     private val memory: BodyMemoryBudget,
+    private val number: Int = 0,
+    private val onAnswer: (AnswerMatch) -> Unit = {},
+    private val onRepeatedId: () -> Unit = {},
 ) : ChannelInboundHandlerAdapter(),
     PooledConnection {
     private var outbound: UpstreamRequest? = null
@@ -64,6 +66,9 @@
     var unidentifiedAnswerSeen: Boolean = false
         private set
 
+    private val carriedIds = CarriedIds()
+    private var carriedRequests = 0
+
     /** When the upstream accepted this connection. */
     var openedAt: Duration = Duration.INFINITE
 
@@ -75,13 +80,25 @@
 
     override val open: Boolean get() = channel.isActive && !broken
 
+    /** The use of this connection by the request that is sent next. */
+    fun nextUse(): ConnectionUse = ConnectionUse(number, carriedRequests + 1, openedAt)
+
     /** Sends [request] and calls [onResult] once with the result, or never after [close]. */
     fun send(request: UpstreamRequest, onResult: (AttemptResult) -> Unit) {
         check(pendingResult == null) { "connection already carries a request" }
+        noteCarried(request.request.id)
         outbound = request
         pendingResult = onResult
         decoder.answersHead = request.request.method == "HEAD"
-        channel.writeAndFlush(encode(request)).addListener { if (!it.isSuccess) channel.close() }
+        val message = UpstreamRequestEncoding.encode(request, names, ticker.now())
+        channel.writeAndFlush(message).addListener { if (!it.isSuccess) channel.close() }
+    }
+
+    private fun noteCarried(id: String?) {
+        carriedRequests++
+        if (id == null) return
+        if (id in carriedIds) onRepeatedId()
+        carriedIds.add(id)
     }
 
     /**
@@ -117,6 +134,7 @@
 
     private fun handle(msg: HttpObject) {
         if (msg.decoderResult().isFailure || pendingResult == null) {
+            if (msg is HttpResponse && pendingResult == null) onAnswer(AnswerMatch.IDLE)
             fail(LossCause.GARBLED)
             return
         }
@@ -129,12 +147,19 @@
         val expected = outbound?.request?.id
         skippingResponse =
             response.status().code() < FIRST_FINAL_STATUS || (echoed != null && expected != null && echoed != expected)
+        if (response.status().code() >= FIRST_FINAL_STATUS) onAnswer(matchOf(echoed))
         if (skippingResponse && response.status().code() >= FIRST_FINAL_STATUS) lateResponseSeen = true
         responseHead = response
         body = BodyBuffer()
         releaseMemory()
     }
 
+    private fun matchOf(echoedId: String?) = when {
+        echoedId == null -> AnswerMatch.UNNAMED
+        skippingResponse -> AnswerMatch.LATE
+        else -> AnswerMatch.OWN
+    }
+
     private fun collect(content: HttpContent) {
         val problem = if (skippingResponse) skip(content.content()) else append(content.content())
         if (problem != null) return fail(problem)
@@ -190,9 +215,14 @@
         val status = response.status().code()
         val load = LoadReport.parse(headers[names.load])
         val notice = names.parseNotice(status, headers)
-        if (status == MISDIRECTED) return AttemptResult.NotExecuted(NotExecutedCause.OTHER_UPSTREAM, load, notice)
+        val named = headers.contains(names.requestId)
+        if (status ==
+            MISDIRECTED
+        ) {
+            return AttemptResult.NotExecuted(NotExecutedCause.OTHER_UPSTREAM, load, notice, named)
+        }
         if (headers.contains(names.notExecuted) && status >= FIRST_ERROR_STATUS) {
-            return AttemptResult.NotExecuted(NotExecutedCause.SHED, load, notice)
+            return AttemptResult.NotExecuted(NotExecutedCause.SHED, load, notice, named)
         }
         val matchesRequest = headers[names.requestId] == outbound?.request?.id
         val authentic = headers.contains(names.signature) && !headers.contains(HttpHeaderNames.CONTENT_ENCODING)
@@ -228,32 +258,12 @@
         callback?.invoke(AttemptResult.Lost(cause))
     }
 
-    private fun encode(outbound: UpstreamRequest): DefaultFullHttpRequest {
-        val request = outbound.request
-        val content = Unpooled.wrappedBuffer(request.body)
-        val message = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod(request.method), request.target, content)
-        val headers = message.headers()
-        headers.set(request.headers)
-        headers.set(HttpHeaderNames.HOST, request.host)
-        headers.set(names.deadlineMs, (outbound.deadline - ticker.now()).inWholeMilliseconds.coerceAtLeast(1))
-        outbound.expectedUpstream?.let { headers.set(names.expectedUpstream, it) }
-        outbound.extraHeaders.forEach { (name, value) -> headers.set(name, value) }
-        val omitContentLength = request.body.isEmpty() && request.method in METHODS_WITHOUT_BODY
-        if (omitContentLength) {
-            headers.remove(HttpHeaderNames.CONTENT_LENGTH)
-        } else {
-            HttpUtil.setContentLength(message, content.readableBytes().toLong())
-        }
-        return message
-    }
-
     private companion object {
         const val KEEP_ALIVE_HEADER = "keep-alive"
         const val FIRST_FINAL_STATUS = 200
         const val FIRST_ERROR_STATUS = 400
         const val MISDIRECTED = 421
         val SUCCESS_STATUSES = 200..299
-        val METHODS_WITHOUT_BODY = setOf("GET", "HEAD", "DELETE", "OPTIONS")
 
         /** Used until the upstream announces a keep-alive time; shorter than usual server settings. */
         val DEFAULT_KEEP_ALIVE = 4.seconds
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnectionPool.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnectionPool.kt
@@ -22,6 +22,8 @@
  * @param memory for responses that are not complete yet
  * @param path where an upstream that is registered at an address is reached
  * @param onConnect called before each attempt to open a connection
+ * @param onAnswer called with each answer, once it is known to which request it belongs
+ * @param onRepeatedId called when a request is sent on a connection that has carried its id before
  */
 internal class UpstreamConnectionPool(
     group: EventLoopGroup,
@@ -30,7 +32,10 @@
     private val memory: BodyMemoryBudget,
     private val path: (address: String) -> String = { it },
     private val onConnect: () -> Unit = {},
+    private val onAnswer: (AnswerMatch) -> Unit = {},
+    private val onRepeatedId: () -> Unit = {},
 ) {
+    private var connectionCount = 0
     private val idle = HashMap<String, IdleConnections<UpstreamConnection>>()
     private val open = HashMap<String, HashSet<UpstreamConnection>>()
     private val bootstrap = Bootstrap().group(group).channel(NioSocketChannel::class.java)
@@ -43,20 +48,20 @@
      * Opening a connection takes time, in which the request may reach its deadline or become one that must not be sent.
      *
      * @param maxIdle a pooled connection that has been idle for longer is not reused
-     * @param onConnected called with the time at which the connection that is used was opened
+     * @param onConnected called with the use of the connection that carries the request
      */
     suspend fun exchange(
         address: String,
         outbound: UpstreamRequest,
         maxIdle: Duration,
-        onConnected: (openedAt: Duration) -> Unit = {},
+        onConnected: (ConnectionUse) -> Unit = {},
     ): AttemptResult {
         val connection = takeIdle(address, outbound, maxIdle) ?: connect(address) ?: return AttemptResult.NotSent
         if (ticker.now() >= outbound.deadline || !outbound.maySend()) {
             addIdle(address, connection)
             return AttemptResult.Withheld
         }
-        onConnected(connection.openedAt)
+        onConnected(connection.nextUse())
         return suspendCancellableCoroutine { continuation ->
             continuation.invokeOnCancellation { connection.close() }
             connection.send(outbound) { if (continuation.isActive) continuation.resume(it) }
@@ -97,6 +102,9 @@
                         { removeClosed(address, it) },
                         decoder,
                         memory,
+                        ++connectionCount,
+                        onAnswer,
+                        onRepeatedId,
                     )
                     connection = created
                     channel.pipeline().addLast(HttpRequestEncoder(), decoder, created)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/GatewayMetrics.kt
@@ -1,5 +1,6 @@
 package io.poplarwood.gateway.metrics
 
+import io.poplarwood.gateway.http.AnswerMatch
 import io.poplarwood.gateway.limit.PermitEvent
 import io.poplarwood.gateway.log.GatewayEvent
 import io.poplarwood.gateway.relay.RelayEvent
@@ -21,6 +22,15 @@
     private val requests = counter("poplarwood_gateway_requests", "Requests by how they ended.", "outcome")
     private val retries = counter("poplarwood_gateway_repeats", "Further attempts by reason.", "reason")
     private val connections = counter("poplarwood_gateway_upstream_connections", "Connections opened to upstreams.")
+    private val answers = counter(
+        "poplarwood_gateway_upstream_answers",
+        "Answers of upstreams, by how they were matched to a request.",
+        "match",
+    )
+    private val repeatedIds = counter(
+        "poplarwood_gateway_repeated_ids",
+        "Requests whose id the connection that would carry them next to an upstream had carried before.",
+    )
     private val droppedAnswers = counter(
         "poplarwood_gateway_dropped_answers",
         "Answers of upstreams that were dropped because the memory for answers was full.",
@@ -69,6 +79,7 @@
     private val requestsByOutcome = Outcome.entries.map { requests.labelValues(it.label) }
     private val retriesByReason = RetryReason.entries.map { retries.labelValues(it.name.lowercase()) }
 
+    private val answersByMatch = AnswerMatch.entries.map { answers.labelValues(it.name.lowercase()) }
     private val relaysByEvent = RelayEvent.entries.map { relays.labelValues(it.name.lowercase()) }
     private val errorsByEvent = GatewayEvent.entries.filter { it.level == Level.ERROR }
         .associate { it.id to errors.labelValues(it.id) }
@@ -133,6 +144,12 @@
     /** Counts a connection opened to an upstream. */
     fun connectionOpened() = connections.inc()
 
+    /** Counts an answer of an upstream that was matched as [match] says. */
+    fun answerMatched(match: AnswerMatch) = answersByMatch[match.ordinal].inc()
+
+    /** Counts a request whose id a connection had carried before. */
+    fun idRepeated() = repeatedIds.inc()
+
     /** Counts an answer of an upstream that was dropped because the memory for answers was full. */
     fun answerDropped() = droppedAnswers.inc()
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Attempt.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Attempt.kt
@@ -1,6 +1,7 @@
 package io.poplarwood.gateway.runtime
 
 import io.poplarwood.gateway.http.AttemptResult
+import io.poplarwood.gateway.http.ConnectionUse
 import io.poplarwood.gateway.upstream.AvailabilityState
 import io.poplarwood.gateway.upstream.UpstreamRow
 import kotlin.time.Duration
@@ -14,8 +15,11 @@
     var result: AttemptResult? = null
     var endedAt: Duration? = null
 
+    /** The connection that carries this attempt; null until there is one. */
+    var connection: ConnectionUse? = null
+
     /** When the connection that carries this attempt was opened; null until there is one. */
-    var connectedAt: Duration? = null
+    val connectedAt: Duration? get() = connection?.openedAt
 
     /** Identifies this attempt among those that may end their upstream. */
     var lossId: Long = 0
@@ -26,14 +30,15 @@
     /** The attempt as one word of the `trail` log field. */
     fun describe(): String {
         val took = endedAt?.let { "+${(it - sentAt).inWholeMilliseconds}ms" } ?: ""
-        return "${row.id}($knownState):${describeResult()}$took"
+        val carriedBy = connection?.let { "@$it" } ?: ""
+        return "${row.id}($knownState)$carriedBy:${describeResult()}$took"
     }
 
     /** The result as one word of a log field. */
     fun describeResult(): String = when (val ended = result) {
         null -> "unanswered"
         is AttemptResult.Answered -> ended.status.toString()
-        is AttemptResult.NotExecuted -> ended.cause.name.lowercase()
+        is AttemptResult.NotExecuted -> ended.cause.name.lowercase() + if (ended.named) "" else "-unnamed"
         is AttemptResult.Lost -> ended.cause.name.lowercase()
         AttemptResult.NotSent -> "not-sent"
         AttemptResult.Withheld -> "withheld"
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/AttemptRunner.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/AttemptRunner.kt
@@ -56,7 +56,7 @@
         }
         val maxIdle = if (route.kind.retryable) MAX_LINK_IDLE_IDEMPOTENT else MAX_LINK_IDLE
         attempt.result = handler.upstreamLinks.exchange(row.record.address, outbound, maxIdle) {
-            attempt.connectedAt = it
+            attempt.connection = it
         }
         attempt.endedAt = ticker.now()
         // Before the slot is granted to a queued request: the upstream may have become unusable.
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestPath.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestPath.kt
@@ -67,6 +67,8 @@
         answerMemory,
         upstreamPath,
         runtime.metrics::connectionOpened,
+        runtime.metrics::answerMatched,
+        runtime.metrics::idRepeated,
     )
     private val livenessCheck =
         LivenessCheck(upstreamConnections::tryConnect, state.upstreams, ticker, runtime.scope)
