Carry each request id at most once on a connection to an upstream

Cause: an answer is matched by the id that it echoes, and nothing else. The id says to which request it belongs, not to which sending of it. A caller that sends a request again under its id gets the connection that was used last, which carried the first sending; the late second answer to that has the expected id.

Change: a connection keeps the ids that it has carried, as hashes, and is passed over for a request whose id is among them. It is replaced after 512 requests, which bounds the memory. So two answers with one id on a connection belong to one sending.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnection.kt
@@ -20,9 +20,10 @@
 /**
  * One connection to an upstream; carries one request at a time. Must be used from its event loop only.
  *
- * A response belongs to the request whose id it echoes; one with another id is late and is skipped. Upstreams reject
- * requests without echoing the id, so a connection that has brought such a response carries only requests that may run
- * again. Bytes that are received while no request is in flight close the connection.
+ * A response belongs to the request whose id it echoes; one with another id is late and is skipped. That tells two
+ * requests apart only if their ids differ, so a connection carries each id once. Upstreams reject requests without
+ * echoing the id, so a connection that has brought such a response carries only requests that may run again. Bytes that
+ * are received while no request is in flight close the connection.
  *
  * A response without a length is whole only if the upstream closed its side of the connection behind it. The decoder
  * ends such a response also when the connection is reset or closed on this side, so [channel] must allow half closure:
@@ -33,7 +34,6 @@
  * @param memory for responses that are not complete yet
  * @param number identifies the connection among those of its pool
  * @param onAnswer called with each answer, once it is known to which request it belongs
- * @param onRepeatedId called when a request is sent whose id the connection has carried before
  */
 internal class UpstreamConnection(
     private val channel: Channel,
@@ -45,7 +45,6 @@
     private val memory: BodyMemoryBudget,
     private val number: Int = 0,
     private val onAnswer: (AnswerMatch) -> Unit = {},
-    private val onRepeatedId: () -> Unit = {},
 ) : ChannelInboundHandlerAdapter(),
     PooledConnection {
     private var outbound: UpstreamRequest? = null
@@ -83,10 +82,14 @@
     /** The use of this connection by the request that is sent next. */
     fun nextUse(): ConnectionUse = ConnectionUse(number, carriedRequests + 1, openedAt)
 
+    /** Whether the connection has carried a request with [id]; a late response to it could pass for the next one. */
+    fun hasCarried(id: String): Boolean = id in carriedIds
+
     /** Sends [request] and calls [onResult] once with the result, or never after [close]. */
     fun send(request: UpstreamRequest, onResult: (AttemptResult) -> Unit) {
         check(pendingResult == null) { "connection already carries a request" }
-        noteCarried(request.request.id)
+        request.request.id?.let(carriedIds::add)
+        carriedRequests++
         outbound = request
         pendingResult = onResult
         decoder.answersHead = request.request.method == "HEAD"
@@ -94,13 +97,6 @@
         channel.writeAndFlush(message).addListener { if (!it.isSuccess) channel.close() }
     }
 
-    private fun noteCarried(id: String?) {
-        carriedRequests++
-        if (id == null) return
-        if (id in carriedIds) onRepeatedId()
-        carriedIds.add(id)
-    }
-
     /**
      * Cancels the request in flight, if any, without reporting a result. Closing the connection tells the upstream of
      * the cancellation.
@@ -235,7 +231,7 @@
     private fun allowsReuse(response: HttpResponse): Boolean {
         val timeout = response.headers()[KEEP_ALIVE_HEADER]?.let(::parseTimeout)
         if (timeout != null) keepAlive = timeout
-        return HttpUtil.isKeepAlive(response) && !response.endsWithConnection
+        return HttpUtil.isKeepAlive(response) && !response.endsWithConnection && carriedIds.size < MAX_CARRIED_IDS
     }
 
     private fun parseTimeout(header: String): Duration? =
@@ -271,6 +267,9 @@
         /** Bytes of late and interim responses before the expected one, beyond which the connection is given up. */
         const val MAX_SKIPPED_BYTES = 1024 * 1024
 
+        /** Requests after which a connection is replaced, since their ids take memory. */
+        const val MAX_CARRIED_IDS = 512
+
         /** Limits memory, since a response is buffered until it is complete. */
         const val MAX_RESPONSE_BYTES = 32 * 1024 * 1024
     }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnectionPool.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnectionPool.kt
@@ -21,9 +21,9 @@
  *
  * @param memory for responses that are not complete yet
  * @param path where an upstream that is registered at an address is reached
- * @param onConnect called before each attempt to open a connection
  * @param onAnswer called with each answer, once it is known to which request it belongs
- * @param onRepeatedId called when a request is sent on a connection that has carried its id before
+ * @param onRepeatedId called with each idle connection that is not used for a request because it has carried its id
+ * @param onConnect called before each attempt to open a connection
  */
 internal class UpstreamConnectionPool(
     group: EventLoopGroup,
@@ -31,9 +31,9 @@
     private val ticker: Ticker,
     private val memory: BodyMemoryBudget,
     private val path: (address: String) -> String = { it },
-    private val onConnect: () -> Unit = {},
     private val onAnswer: (AnswerMatch) -> Unit = {},
     private val onRepeatedId: () -> Unit = {},
+    private val onConnect: () -> Unit = {},
 ) {
     private var connectionCount = 0
     private val idle = HashMap<String, IdleConnections<UpstreamConnection>>()
@@ -69,7 +69,13 @@
     }
 
     private fun takeIdle(address: String, outbound: UpstreamRequest, maxIdle: Duration): UpstreamConnection? =
-        idle[address]?.take(ticker.now(), maxIdle) { outbound.repeatable || !it.unidentifiedAnswerSeen }
+        idle[address]?.take(ticker.now(), maxIdle) { mayCarry(it, outbound) }
+
+    private fun mayCarry(connection: UpstreamConnection, outbound: UpstreamRequest): Boolean {
+        val repeatsId = outbound.request.id?.let(connection::hasCarried) ?: false
+        if (repeatsId) onRepeatedId()
+        return !repeatsId && (outbound.repeatable || !connection.unidentifiedAnswerSeen)
+    }
 
     /** Tries to open a connection to [address], and adds it to the pool. */
     suspend fun tryConnect(address: String): ConnectResult {
@@ -104,7 +110,6 @@
                         memory,
                         ++connectionCount,
                         onAnswer,
-                        onRepeatedId,
                     )
                     connection = created
                     channel.pipeline().addLast(HttpRequestEncoder(), decoder, created)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/metrics/GatewayMetrics.kt
@@ -29,7 +29,7 @@
     )
     private val repeatedIds = counter(
         "poplarwood_gateway_repeated_ids",
-        "Requests whose id the connection that would carry them next to an upstream had carried before.",
+        "Idle connections to upstreams that were not used for a request because they had carried its id.",
     )
     private val droppedAnswers = counter(
         "poplarwood_gateway_dropped_answers",
@@ -147,7 +147,7 @@
     /** Counts an answer of an upstream that was matched as [match] says. */
     fun answerMatched(match: AnswerMatch) = answersByMatch[match.ordinal].inc()
 
-    /** Counts a request whose id a connection had carried before. */
+    /** Counts a connection that was not used for a request because it had carried its id. */
     fun idRepeated() = repeatedIds.inc()
 
     /** Counts an answer of an upstream that was dropped because the memory for answers was full. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestPath.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestPath.kt
@@ -66,9 +66,9 @@
         ticker,
         answerMemory,
         upstreamPath,
-        runtime.metrics::connectionOpened,
         runtime.metrics::answerMatched,
         runtime.metrics::idRepeated,
+        runtime.metrics::connectionOpened,
     )
     private val livenessCheck =
         LivenessCheck(upstreamConnections::tryConnect, state.upstreams, ticker, runtime.scope)
