Close a connection after a response that names no request

Cause: upstreams may reject a request without echoing its id. On a connection that has brought one such rejection, a second one cannot be told from its late copy. The copy that follows the next request counted as the rejection of that request: the entry forgot the attempt, tried elsewhere or refused, and the answer came to nobody.

Change: the connection is closed after such a response, whichever request it carried, so that the first response without an id on a connection can only be that to the request in flight. With it the distinction by `repeatable` goes. Ruled out: to take a second such response as "may have run" and keep the connection; it saves about half of the new connections, but loses what an overloaded upstream says, and callers get 502 for requests that did not run.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnection.kt
@@ -21,9 +21,10 @@
  * One connection to an upstream; carries one request at a time. Must be used from its event loop only.
  *
  * A response belongs to the request whose id it echoes; one with another id is late and is skipped. That tells two
- * requests apart only if their ids differ, so a connection carries each id once. Upstreams reject requests without
- * echoing the id, so a connection that has brought such a response carries only requests that may run again. Bytes that
- * are received while no request is in flight close the connection.
+ * requests apart only if their ids differ, so a connection carries each id once. Upstreams may reject requests without
+ * echoing the id; the first such response on a connection is that to the request in flight, and the connection is
+ * closed after it, since a copy could not be told from a second one. Bytes that are received while no request is in
+ * flight close the connection.
  *
  * A response without a length is whole only if the upstream closed its side of the connection behind it. The decoder
  * ends such a response also when the connection is reset or closed on this side, so [channel] must allow half closure:
@@ -59,12 +60,6 @@
     /** Whether a late response was skipped; more of them may follow, so the connection is not reused. */
     private var lateResponseSeen = false
 
-    /**
-     * Whether an answer named no request. A late copy of it could not be told from the answer to the request in flight.
-     */
-    var unidentifiedAnswerSeen: Boolean = false
-        private set
-
     private val carriedIds = CarriedIds()
     private var carriedRequests = 0
 
@@ -188,7 +183,6 @@
 
     private fun complete(response: HttpResponse) {
         val result = resultOf(response)
-        if (response.headers()[names.requestId] == null) unidentifiedAnswerSeen = true
         val reusable = allowsReuse(response) && !lateResponseSeen && result !is AttemptResult.Lost
         val callback = pendingResult
         pendingResult = null
@@ -231,7 +225,9 @@
     private fun allowsReuse(response: HttpResponse): Boolean {
         val timeout = response.headers()[KEEP_ALIVE_HEADER]?.let(::parseTimeout)
         if (timeout != null) keepAlive = timeout
-        return HttpUtil.isKeepAlive(response) && !response.endsWithConnection && carriedIds.size < MAX_CARRIED_IDS
+        val named = response.headers().contains(names.requestId)
+        return named && HttpUtil.isKeepAlive(response) && !response.endsWithConnection &&
+            carriedIds.size < MAX_CARRIED_IDS
     }
 
     private fun parseTimeout(header: String): Duration? =
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnectionPool.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnectionPool.kt
@@ -74,7 +74,7 @@
     private fun mayCarry(connection: UpstreamConnection, outbound: UpstreamRequest): Boolean {
         val repeatsId = outbound.request.id?.let(connection::hasCarried) ?: false
         if (repeatsId) onRepeatedId()
-        return !repeatsId && (outbound.repeatable || !connection.unidentifiedAnswerSeen)
+        return !repeatsId
     }
 
     /** Tries to open a connection to [address], and adds it to the pool. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamRequest.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamRequest.kt
@@ -7,7 +7,6 @@
  *
  * @property deadline when its caller stops waiting, as a reading of the entry's ticker
  * @property expectedUpstream id of the only upstream that may run the request; null where another entry selects one
- * @property repeatable whether the request may run more than once
  * @property extraHeaders headers that are set besides those of the request
  * @property maySend whether the request may still be sent; asked when its connection is open
  */
@@ -15,7 +14,6 @@
     val request: CallerRequest,
     val deadline: Duration,
     val expectedUpstream: String?,
-    val repeatable: Boolean,
     val extraHeaders: Map<String, String> = emptyMap(),
     val maySend: () -> Boolean = { true },
 )
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/relay/RelayedRun.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/relay/RelayedRun.kt
@@ -76,7 +76,7 @@
     private suspend fun exchange(helper: PeerStatus, attempts: Int, limit: Duration): AttemptResult? {
         val sentAt = ticker.now()
         val headers = RelayHeaders.of(Hop(request.fingerprint, attempts))
-        val outbound = UpstreamRequest(request, deadline, null, route.kind.retryable, headers) {
+        val outbound = UpstreamRequest(request, deadline, null, headers) {
             handler.configurationAdmission.maySend(request.arrivedAt)
         }
         metrics.relayed(RelayEvent.SENT)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/AttemptRunner.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/AttemptRunner.kt
@@ -51,7 +51,7 @@
 
     private suspend fun exchange(attempt: Attempt) {
         val row = attempt.row
-        val outbound = UpstreamRequest(request, deadline, row.id, route.kind.retryable) {
+        val outbound = UpstreamRequest(request, deadline, row.id) {
             handler.configurationAdmission.maySend(request.arrivedAt)
         }
         val maxIdle = if (route.kind.retryable) MAX_LINK_IDLE_IDEMPOTENT else MAX_LINK_IDLE
