Send HEAD requests on connections of their own

Cause: the decoder is told by the method of the request in flight whether a response has a body. A late response to a GET request that arrives in place of that to a HEAD request is read without its body, and the body as the next response: an upstream that returns what callers sent then lets them choose it. A late response to a HEAD request that arrives in place of that to a GET request makes its bytes the body which the late one announces.

Change: a HEAD request opens a connection, which is closed after it.

Measured: LateHeadAnswersSpec, both cases failed before (404, 200 and 404, none), none after. RepeatedIdsSpec and LateAnswersSpec pass.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnection.kt
@@ -74,11 +74,14 @@
 
     override val open: Boolean get() = channel.isActive && !broken
 
+    /** Whether the connection has carried no request. */
+    val unused: Boolean get() = carriedRequests == 0
+
     /** The use of this connection by the request that is sent next. */
     fun nextUse(): ConnectionUse = ConnectionUse(number, carriedRequests + 1, openedAt)
 
-    /** Whether the connection has carried a request with [id]; a late response to it could pass for the next one. */
-    fun hasCarried(id: String): Boolean = id in carriedIds
+    /** Whether the connection has carried a request with the id of [request]. */
+    fun hasCarriedIdOf(request: UpstreamRequest): Boolean = request.request.id?.let { it in carriedIds } ?: false
 
     /** Sends [request] and calls [onResult] once with the result, or never after [close]. */
     fun send(request: UpstreamRequest, onResult: (AttemptResult) -> Unit) {
@@ -226,7 +229,8 @@
         val timeout = response.headers()[KEEP_ALIVE_HEADER]?.let(::parseTimeout)
         if (timeout != null) keepAlive = timeout
         val named = response.headers().contains(names.requestId)
-        return named && HttpUtil.isKeepAlive(response) && !response.endsWithConnection &&
+        val sharable = outbound?.needsOwnConnection == false
+        return sharable && named && HttpUtil.isKeepAlive(response) && !response.endsWithConnection &&
             carriedIds.size < MAX_CARRIED_IDS
     }
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnectionPool.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnectionPool.kt
@@ -72,9 +72,9 @@
         idle[address]?.take(ticker.now(), maxIdle) { mayCarry(it, outbound) }
 
     private fun mayCarry(connection: UpstreamConnection, outbound: UpstreamRequest): Boolean {
-        val repeatsId = outbound.request.id?.let(connection::hasCarried) ?: false
+        val repeatsId = connection.hasCarriedIdOf(outbound)
         if (repeatsId) onRepeatedId()
-        return !repeatsId
+        return !repeatsId && (!outbound.needsOwnConnection || connection.unused)
     }
 
     /** Tries to open a connection to [address], and adds it to the pool. */
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamRequest.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamRequest.kt
@@ -16,4 +16,10 @@
     val expectedUpstream: String?,
     val extraHeaders: Map<String, String> = emptyMap(),
     val maySend: () -> Boolean = { true },
-)
+) {
+    /**
+     * Whether the request shares its connection with no other one. The method of the request in flight decides whether
+     * a response has a body, so a late response from before or after a HEAD request would be read wrongly.
+     */
+    val needsOwnConnection: Boolean get() = request.method == "HEAD"
+}
