Send requests without an id on connections of their own

Before a late answer without an id passed as its answer.

Cause: a request without an id accepts answers that name no request, and cannot tell the late ones from its own; one that names another request ends the connection with the request in flight.

Change: it opens a connection, which is closed after its answer.

Measured: RepeatedIdsSpec, "requests without an id get their own answers" failed before (lost at the second), passes after.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamRequest.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamRequest.kt
@@ -18,8 +18,9 @@
     val maySend: () -> Boolean = { true },
 ) {
     /**
-     * Whether the request shares its connection with no other one. The method of the request in flight decides whether
-     * a response has a body, so a late response from before or after a HEAD request would be read wrongly.
+     * Whether the request shares its connection with no other one. A late response could not be told from that to a
+     * request without an id. The method of the request in flight decides whether a response has a body, so a late
+     * response from before or after a HEAD request would be read wrongly.
      */
-    val needsOwnConnection: Boolean get() = request.method == "HEAD"
+    val needsOwnConnection: Boolean get() = request.id == null || request.method == "HEAD"
 }
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/http/RepeatedIdsSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/http/RepeatedIdsSpec.kt
@@ -22,6 +22,12 @@
         }
     }
 
+    /** Guards against late answers that nothing tells from the answer to a request without an id. */
+    @Test
+    fun `requests without an id get their own answers`() {
+        assertEquals(listOf("1", "2", "3"), listOf("a", null, null).map(::bodyOfExchange))
+    }
+
     /** Guards against a new connection for every request. */
     @Test
     fun `requests with ids of their own reuse a connection that has brought no late answer`() {
