--- a/gateway/src/test/kotlin/io/poplarwood/gateway/http/LateAnswersFixture.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/http/LateAnswersFixture.kt
@@ -19,8 +19,12 @@
 import kotlin.test.assertIs
 import kotlin.time.Duration.Companion.seconds
 
-/** An upstream that sends each answer a second time as the next request arrives on the connection. */
-abstract class LateAnswersFixture {
+/**
+ * An upstream that sends each answer a second time as the next request arrives on the connection.
+ *
+ * @param repeatsAnswers whether it does so; it answers once otherwise
+ */
+abstract class LateAnswersFixture(private val repeatsAnswers: Boolean = true) {
     private val server = ServerSocket(0, 9, InetAddress.getLoopbackAddress())
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val pool = UpstreamConnectionPool(group, HEADER_NAMES, Ticker { 10.seconds }, BodyMemoryBudget(10_000))
@@ -55,7 +59,7 @@
         while (true) {
             val answer = answerTo(readHead(input) ?: return)
             it.getOutputStream().write((late + answer).encodeToByteArray())
-            late = answer
+            if (repeatsAnswers) late = answer
         }
     }
 
