Close an idle connection on which a response has begun

Cause: found by the review of the fix. A decoder keeps bytes that are no whole head yet, and emits nothing. Behind an answer such bytes left the connection idle, and it was used again: what an upstream sends of a second answer before it breaks off, or before the rest arrives, became the beginning of the head of the next answer, whose own status line was read as part of a field or of the reason.

Measured: StrayBytesSpec, three cases failed before (200 twice and no answer once, expected 500 each), none after.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnection.kt
@@ -24,7 +24,7 @@
  * requests apart only if their ids differ, so a connection carries each id once. Upstreams may reject requests without
  * echoing the id; the first such response on a connection is that to the request in flight, and the connection is
  * closed after it, since a copy could not be told from a second one. Bytes that are received while no request is in
- * flight close the connection.
+ * flight close the connection, also if they are the beginning of a response only.
  *
  * A response without a length is whole only if the upstream closed its side of the connection behind it. The decoder
  * ends such a response also when the connection is reset or closed on this side, so [channel] must allow half closure:
@@ -72,7 +72,7 @@
     override var keepAlive: Duration = DEFAULT_KEEP_ALIVE
         private set
 
-    override val open: Boolean get() = channel.isActive && !broken
+    override val open: Boolean get() = channel.isActive && !broken && !decoder.hasBegunResponse
 
     /** Whether the connection has carried no request. */
     val unused: Boolean get() = carriedRequests == 0
@@ -114,6 +114,11 @@
         }
     }
 
+    /** Bytes behind a response would be read as the beginning of the response to the next request. */
+    override fun channelReadComplete(ctx: ChannelHandlerContext) {
+        if (pendingResult == null && !broken && decoder.hasBegunResponse) fail(LossCause.GARBLED)
+    }
+
     override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) = failEnded()
 
     /** The upstream has closed its sending side; what it sent before has been read. */
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/http/StrayBytesSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/http/StrayBytesSpec.kt
@@ -34,15 +34,12 @@
         }
 
         @Test
-        @Tag("known-red")
         fun `the beginning of a head`() = assertEquals(500, secondStatusBehind(CUT_IN_FIELD))
 
         @Test
-        @Tag("known-red")
         fun `the beginning of a status line`() = assertEquals(500, secondStatusBehind(CUT_IN_STATUS_LINE))
 
         @Test
-        @Tag("known-red")
         fun `a few bytes`() = assertEquals(500, secondStatusBehind("xyz"))
 
         @Test
