Take a head with a second status line in it for no answer

Cause: a head that is cut within a line is continued by the next answer. If that happens before the field with the id, the status is that of the late answer and everything else that of the own one.

Change: a response whose reason or field values hold a status line is lost (502, or sent again where the route allows it), and its connection ends. That is a rule on what arrives, not on what this side knows: a cut that leaves a whole line makes a field without a name, which the decoder refuses; one behind the id makes the answer a late one. Ruled out: to refuse `HTTP/` anywhere in a head, since `Via` may hold it.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamConnection.kt
@@ -137,7 +137,10 @@
             fail(LossCause.GARBLED)
             return
         }
-        if (msg is HttpResponse) startResponse(msg)
+        if (msg is HttpResponse) {
+            if (msg.holdsStatusLine) return fail(LossCause.GARBLED)
+            startResponse(msg)
+        }
         if (msg is HttpContent) collect(msg)
     }
 
@@ -231,18 +234,13 @@
     }
 
     private fun allowsReuse(response: HttpResponse): Boolean {
-        val timeout = response.headers()[KEEP_ALIVE_HEADER]?.let(::parseTimeout)
-        if (timeout != null) keepAlive = timeout
+        response.keepAliveTimeout?.let { keepAlive = it }
         val named = response.headers().contains(names.requestId)
         val sharable = outbound?.needsOwnConnection == false
         return sharable && named && HttpUtil.isKeepAlive(response) && !response.endsWithConnection &&
             carriedIds.size < MAX_CARRIED_IDS
     }
 
-    private fun parseTimeout(header: String): Duration? =
-        header.split(',').map { it.trim() }.firstOrNull { it.startsWith("timeout=") }
-            ?.substringAfter('=')?.toIntOrNull()?.seconds
-
     private fun releaseMemory() {
         memory.release(reservedBytes)
         reservedBytes = 0
@@ -260,7 +258,6 @@
     }
 
     private companion object {
-        const val KEEP_ALIVE_HEADER = "keep-alive"
         const val FIRST_FINAL_STATUS = 200
         const val FIRST_ERROR_STATUS = 400
         const val MISDIRECTED = 421
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/http/StrayBytesSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/http/StrayBytesSpec.kt
@@ -1,7 +1,6 @@
 package io.poplarwood.gateway.http
 
 import org.junit.jupiter.api.Nested
-import org.junit.jupiter.api.Tag
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertNotEquals
@@ -13,8 +12,7 @@
 
     override fun answer(number: Int, method: String, id: String?): String = when (number) {
         1 -> response(200, id, "whole") + behindFirst
-        2 -> beforeSecond + response(500, id, "failure")
-        else -> response(500, id, "failure")
+        else -> beforeSecond + response(500, id, "failure")
     }
 
     private fun statusOf(id: String) = (exchange(id) as? AttemptResult.Answered)?.status
@@ -55,14 +53,23 @@
         }
 
         @Test
-        @Tag("known-red")
         fun `the beginning of a head`() = assertNotEquals(200, secondStatusAfter(CUT_IN_FIELD))
 
         @Test
-        @Tag("known-red")
         fun `the beginning of a status line`() = assertNotEquals(200, secondStatusAfter(CUT_IN_STATUS_LINE))
     }
 
+    /** Guards against a cut at another place than those above. */
+    @Test
+    fun `no part of a late answer in front of a failure makes it a success`() {
+        val late = response(200, "a", "whole", "Server: x\r\n")
+        assertEquals(200, statusOf("a"))
+        for (length in 1 until late.indexOf("Request-Id")) {
+            beforeSecond = late.take(length)
+            assertNotEquals(200, statusOf("cut-$length"), "cut after $length bytes")
+        }
+    }
+
     private companion object {
         const val CUT_IN_FIELD = "HTTP/1.1 200 OK\r\nServer: "
         const val CUT_IN_STATUS_LINE = "HTTP/1.1 200 O"
