Date a health reply by the call before it on its connection

Cause: replies to the entry's own calls name no call and are matched by their order on a kept connection.

Change: HttpReply tells when the call before it on the connection was sent. Evidence that an upstream runs, and the time of a limit, count from then. Evidence from before an attempt was lost, or sent, proves nothing for it, and older evidence no longer replaces newer evidence.

Weighed: a new connection for each probe is too dear. The slowness still counts as new.

Store and entries: nothing changes; the client relies on one reply to each of their calls, and says so.

No spec shows a request cleared by such a reply end to end.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/CrashLoss.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/CrashLoss.kt
@@ -43,6 +43,13 @@
         UpstreamFate.UNKNOWN -> now - runningAt > MAX_SILENCE
     }
 
+    /**
+     * This loss after [upstream] was shown to have been running since before [sentAt] and until [time]. Unchanged if
+     * [upstream] may have ended after [time] under the request.
+     */
+    fun provenRunning(time: Duration): CrashLoss =
+        if (time < (if (endSeen) lostAt else sentAt)) this else copy(provenAt = maxOf(provenAt, time))
+
     /** Until when [upstream] may be taken to have been running. */
     private val runningAt: Duration get() = if (endSeen) provenAt else maxOf(provenAt, sentAt)
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/CrashSuspects.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/CrashSuspects.kt
@@ -81,8 +81,8 @@
     }
 
     /**
-     * Records that the incarnation [upstream] sent at [now] an answer on a connection opened at [openedAt]: it has run
-     * since then. It has survived the requests that it can no longer be executing.
+     * Records that the incarnation [upstream] sent at [now], or later, an answer on a connection opened at [openedAt]:
+     * it ran from then until [now]. It has survived the requests that it can no longer be executing.
      */
     fun upstreamAnswered(upstream: IncarnationId, openedAt: Duration, now: Duration) {
         for ((fingerprint, row) in rows) {
@@ -90,7 +90,7 @@
             for (loss in proven) {
                 val survived = loss.runsUntil <= now
                 val fate = if (survived) UpstreamFate.SURVIVED else loss.fate
-                row.losses[loss.id] = loss.copy(provenAt = now, fate = fate)
+                row.losses[loss.id] = loss.provenRunning(now).copy(fate = fate)
                 if (survived) onDismissed(fingerprint, loss, "answered on an older connection")
             }
         }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/RunningAttempts.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/decision/crash/RunningAttempts.kt
@@ -38,13 +38,13 @@
     fun count(fingerprint: Long): Int = countByFingerprint[fingerprint] ?: 0
 
     /**
-     * Records that the incarnation [upstream] sent at [now] an answer on a connection opened at [openedAt]: it has run
-     * since then.
+     * Records that the incarnation [upstream] sent at [now], or later, an answer on a connection opened at [openedAt]:
+     * it ran from then until [now].
      */
     fun upstreamAnswered(upstream: IncarnationId, openedAt: Duration, now: Duration) {
         for (attempt in running.values) {
             val loss = attempt.loss
-            if (loss.upstream == upstream && openedAt <= loss.sentAt) attempt.loss = loss.copy(provenAt = now)
+            if (loss.upstream == upstream && openedAt <= loss.sentAt) attempt.loss = loss.provenRunning(now)
         }
     }
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/EntryHttpClient.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/EntryHttpClient.kt
@@ -36,6 +36,11 @@
 /**
  * HTTP client for the entry's own calls: to the store, to peers and to the health checks of upstreams. Keeps idle
  * connections for reuse. Must be used from one event loop only.
+ *
+ * Replies name no call, so they are matched by their order on the connection. This relies on one reply to each call,
+ * which the store and entries send. Upstreams may answer a health check twice: a second reply that arrives while no
+ * call is in flight closes its connection, and one that arrives during the next call passes as the reply to that. Where
+ * it matters, [HttpReply.earlierCallSentAt] tells from when such a reply may be, and [closeIdle] excludes it.
  */
 class EntryHttpClient(group: EventLoopGroup, private val ticker: Ticker) {
     private val idle = HashMap<String, ArrayDeque<ClientConnection>>()
@@ -88,6 +93,11 @@
         }
     }
 
+    /** Closes the idle connections to [address], so that no late reply on them passes as the reply to the next call. */
+    fun closeIdle(address: String) {
+        idle.remove(address)?.forEach { it.close() }
+    }
+
     /** Returns when the head has not arrived in time, or no byte for the stall limit after it. */
     private suspend fun awaitStall(collector: ReplyCollector, limits: CallLimits) {
         withTimeoutOrNull(limits.head) { collector.headArrived.join() } ?: return
@@ -151,12 +161,16 @@
         private var keepAlive = true
         private var endsWithConnection = false
         private var openedAt = Duration.INFINITE
+        private var callSentAt: Duration? = null
+        private var earlierCallSentAt: Duration? = null
 
         val open: Boolean get() = keepAlive && channel?.isActive ?: false
 
         fun send(request: DefaultFullHttpRequest, replyCollector: ReplyCollector, onReply: (HttpReply?) -> Unit) {
             pendingReply = onReply
             collector = replyCollector
+            earlierCallSentAt = callSentAt
+            callSentAt = ticker.now()
             channel?.writeAndFlush(request)
         }
 
@@ -179,7 +193,7 @@
                 if (endsWithConnection && !ctx.channel().isActive) return abandon(ctx)
                 if (!keepAlive) ctx.close()
                 collector = null
-                complete(reply.reply(openedAt))
+                complete(reply.reply(openedAt, earlierCallSentAt))
             }
         }
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/ReplyCollector.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/ReplyCollector.kt
@@ -50,9 +50,13 @@
         return true
     }
 
-    /** The reply on a connection opened at [connectedAt], once the last piece was added; null without a head. */
-    fun reply(connectedAt: Duration): HttpReply? =
-        head?.let { HttpReply(it.status().code(), joined(), it.headers(), connectedAt) }
+    /**
+     * The reply on a connection opened at [connectedAt], once the last piece was added; null without a head.
+     *
+     * @param earlierCallSentAt when the call before this one was sent on the connection; null if there was none
+     */
+    fun reply(connectedAt: Duration, earlierCallSentAt: Duration?): HttpReply? =
+        head?.let { HttpReply(it.status().code(), joined(), it.headers(), connectedAt, earlierCallSentAt) }
 
     private fun joined(): ByteArray {
         val body = ByteArray(size)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/CrashDetector.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/CrashDetector.kt
@@ -95,7 +95,7 @@
         upstreamAnswered(attempt.row, openedAt, now)
     }
 
-    /** Records that [row] sent at [now] an answer on a connection opened at [openedAt]. */
+    /** Records that [row] sent at [now], or later, an answer on a connection opened at [openedAt]. */
     fun upstreamAnswered(row: UpstreamRow, openedAt: Duration, now: Duration) {
         running.upstreamAnswered(row.incarnation, openedAt, now)
         crashes.upstreamAnswered(row.incarnation, openedAt, now)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/LoadProber.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/LoadProber.kt
@@ -58,9 +58,10 @@
         row.probeDuration += (now - sentAt - row.probeDuration) * PROBE_TIME_SMOOTHING
         // Another upstream may run at this address by now.
         if (reply == null || reply.headers[headerNames.upstreamId] != row.id || row.record.service != service) return
-        crashes.upstreamAnswered(row, reply.connectedAt, now)
+        crashes.upstreamAnswered(row, reply.connectedAt, reply.earlierCallSentAt ?: now)
         val notice = headerNames.parseNotice(reply.status, reply.headers)
-        availability.applyNotice(row, notice, sentAt, now, endsLimit = false)
+        availability.applyNotice(row, notice, reply.earlierCallSentAt ?: sentAt, now, endsLimit = false)
+        // A rare late copy costs less than dating all reports back, as older ones do not show that an upstream is fast.
         LoadReport.parse(reply.headers[headerNames.load])?.slowness?.let { loadBoard.recordSlowness(row, it, now) }
     }
 
--- a/gateway/src/test/kotlin/io/poplarwood/gateway/decision/crash/CrashSuspectsSpec.kt
+++ b/gateway/src/test/kotlin/io/poplarwood/gateway/decision/crash/CrashSuspectsSpec.kt
@@ -22,7 +22,8 @@
         fate: UpstreamFate = UpstreamFate.ENDED,
         since: Duration = at - 1.milliseconds,
         endSeen: Boolean = true,
-    ) = suspects.recordLoss(7, CrashLoss(id.toLong(), upstream(id), since, at, fate, endSeen), at)
+        runsUntil: Duration = at,
+    ) = suspects.recordLoss(7, CrashLoss(id.toLong(), upstream(id), since, at, fate, endSeen, runsUntil), at)
 
     private fun upstream(id: Int) = IncarnationId("u$id", 0)
 
@@ -175,6 +176,34 @@
             assertEquals(CrashVerdict.ADMITTED, suspects.verdict(7, 3.seconds))
         }
 
+        /** Guards against an answer that may be a late copy of an older one and hides a newer one. */
+        @Test
+        fun `stays admitted when an answer that may be older follows`() {
+            for (i in 1..3) {
+                lost(
+                    i,
+                    1.seconds,
+                    UpstreamFate.UNKNOWN,
+                    since = 500.milliseconds,
+                    endSeen = false,
+                    runsUntil = 9.seconds,
+                )
+            }
+            suspects.upstreamAnswered(upstream(2), openedAt = 100.milliseconds, now = 3.seconds)
+            suspects.upstreamAnswered(upstream(2), openedAt = 100.milliseconds, now = 2.seconds)
+            assertEquals(CrashVerdict.ADMITTED, suspects.verdict(7, 5.seconds))
+        }
+
+        /** Guards against a late copy of an answer from before the attempt that clears its upstream. */
+        @Test
+        fun `stays held by an answer that may be from before the upstream could have ended`() {
+            for (i in 1..3) lost(i, i.seconds, UpstreamFate.UNKNOWN)
+            suspects.upstreamAnswered(upstream(3), openedAt = 100.milliseconds, now = 2_900.milliseconds)
+            assertEquals(CrashVerdict.HELD, suspects.verdict(7, 4.seconds))
+            suspects.upstreamAnswered(upstream(3), openedAt = 100.milliseconds, now = 3.seconds)
+            assertEquals(CrashVerdict.ADMITTED, suspects.verdict(7, 4.seconds))
+        }
+
         /** Guards against an upstream that ends silently after it has answered others. */
         @Test
         fun `is held again when an upstream that may run it has become silent since its answer`() {
