Do not let a late second health reply renew a pause or a rate limit

Cause: the probes resume on the connection of that reply; its late copy passes as the reply to the next probe.

Change: a reply that asks for fewer requests is the last on its connection. LoadProber closes the idle connections to the upstream, so the next probe, after the pause or limit, goes over a new one.

Weighed: dating the pause back would lose real ones; a second probe on a new connection to confirm each notice costs a probe more and delays real notices. This costs one connection for each notice of a health reply.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/LoadProber.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/LoadProber.kt
@@ -53,13 +53,16 @@
         row.probedAt = sentAt
         row.recentSends.add(sentAt)
         metrics.probeSent()
-        val reply = httpClient.call(path(row.record.address), "GET", healthPath, null, PROBE_TIMEOUT, MAX_REPLY_BYTES)
+        val address = path(row.record.address)
+        val reply = httpClient.call(address, "GET", healthPath, null, PROBE_TIMEOUT, MAX_REPLY_BYTES)
         val now = ticker.now()
         row.probeDuration += (now - sentAt - row.probeDuration) * PROBE_TIME_SMOOTHING
         // Another upstream may run at this address by now.
         if (reply == null || reply.headers[headerNames.upstreamId] != row.id || row.record.service != service) return
         crashes.upstreamAnswered(row, reply.connectedAt, reply.earlierCallSentAt ?: now)
         val notice = headerNames.parseNotice(reply.status, reply.headers)
+        // A second reply with this notice would renew it after its end.
+        if (notice.restrictsRequests) httpClient.closeIdle(address)
         availability.applyNotice(row, notice, reply.earlierCallSentAt ?: sentAt, now, endsLimit = false)
         // A rare late copy costs less than dating all reports back, as older ones do not show that an upstream is fast.
         LoadReport.parse(reply.headers[headerNames.load])?.slowness?.let { loadBoard.recordSlowness(row, it, now) }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/UpstreamNotice.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/upstream/UpstreamNotice.kt
@@ -15,6 +15,9 @@
     val retryAfter: Duration?,
     val limit: LimitNotice = LimitNotice.Absent,
 ) {
+    /** Whether the upstream asks for fewer requests than usual for some time. */
+    val restrictsRequests: Boolean get() = retryAfter != null || limit is LimitNotice.Limited
+
     companion object {
         private const val SERVICE_UNAVAILABLE = 503
         private const val LEAVING_MARK = "1"
