Send a request that goes by way of other entries to each upstream once

An upstream to which no connection was opened is not among them. An entry gives up attempts on a lost path only if its service has another upstream.

Builds before: the ids are further values of relay-attempts-left. An older first entry sends no ids, and is served as before.

--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamRequest.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamRequest.kt
@@ -7,14 +7,14 @@
  *
  * @property deadline when its caller stops waiting, as a reading of the entry's ticker
  * @property expectedUpstream id of the only upstream that may run the request; null where another entry selects one
- * @property extraHeaders headers that are set besides those of the request
+ * @property extraHeaders headers that are set besides those of the request, each with its values
  * @property maySend whether the request may still be sent; asked when its connection is open
  */
 internal class UpstreamRequest(
     val request: CallerRequest,
     val deadline: Duration,
     val expectedUpstream: String?,
-    val extraHeaders: Map<String, String> = emptyMap(),
+    val extraHeaders: Map<String, List<String>> = emptyMap(),
     val maySend: () -> Boolean = { true },
 ) {
     /**
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamRequestEncoding.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/http/UpstreamRequestEncoding.kt
@@ -22,7 +22,7 @@
         headers.set(HttpHeaderNames.HOST, request.host)
         headers.set(names.deadlineMs, (outbound.deadline - now).inWholeMilliseconds.coerceAtLeast(1))
         outbound.expectedUpstream?.let { headers.set(names.expectedUpstream, it) }
-        outbound.extraHeaders.forEach { (name, value) -> headers.set(name, value) }
+        outbound.extraHeaders.forEach { (name, values) -> headers.set(name, values) }
         val omitContentLength = request.body.isEmpty() && request.method in METHODS_WITHOUT_BODY
         if (omitContentLength) {
             headers.remove(HttpHeaderNames.CONTENT_LENGTH)
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/relay/RelayPath.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/relay/RelayPath.kt
@@ -1,6 +1,5 @@
 package io.poplarwood.gateway.relay
 
-import io.poplarwood.api.id.ServiceName
 import io.poplarwood.gateway.http.CallerRequest
 import io.poplarwood.gateway.http.UpstreamConnectionPool
 import io.poplarwood.gateway.metrics.GatewayMetrics
@@ -19,7 +18,6 @@
         handler: RequestHandler,
         request: CallerRequest,
         route: Route,
-        service: ServiceName,
         report: RequestReport,
-    ) = RelayedRun(handler, helpers, links, metrics, request, route, service, report)
+    ) = RelayedRun(handler, helpers, links, metrics, request, route, report)
 }
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/relay/RelayedRun.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/relay/RelayedRun.kt
@@ -1,6 +1,5 @@
 package io.poplarwood.gateway.relay
 
-import io.poplarwood.api.id.ServiceName
 import io.poplarwood.gateway.http.AttemptResult
 import io.poplarwood.gateway.http.CallerRequest
 import io.poplarwood.gateway.http.UpstreamConnectionPool
@@ -19,11 +18,12 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Executes one request by way of other entries, because this one cannot reach the upstreams of [service].
+ * Executes one request by way of other entries, because this one cannot reach the upstreams.
  *
  * The helper makes the attempts, with the time and the attempts that are left and the fingerprint of the caller's
- * request; it takes repeats from the budget, while the request itself is counted here. A helper that may have had the
- * request run is followed by another one only where the route allows it, out of the budget.
+ * request; it takes repeats from the budget, while the request itself is counted here. It leaves out the upstreams that
+ * this entry has sent the request to: a second run there could end otherwise than the first, under the same id. A
+ * helper that does not answer is not followed by another one, because it is not known which upstreams it has used.
  */
 internal class RelayedRun(
     private val handler: RequestHandler,
@@ -32,12 +32,11 @@
     private val metrics: GatewayMetrics,
     private val request: CallerRequest,
     private val route: Route,
-    private val service: ServiceName,
     private val report: RequestReport,
 ) {
     private val ticker = handler.ticker
     private val deadline = request.deadline(route.timeout)
-    private val tried = HashSet<String>()
+    private val asked = HashSet<String>()
 
     /**
      * Runs the request until it has a final answer; null when no entry can help.
@@ -46,43 +45,36 @@
      * @param attemptsLeft number of upstreams that the request may still be sent to
      */
     suspend fun run(evidence: ExecutionEvidence, attemptsLeft: Int): RequestResult? {
-        var left = attemptsLeft
+        val hop = Hop(request.fingerprint, attemptsLeft, report.sentTo)
+        if (attemptsLeft <= 0 || !RelayHeaders.canCarry(hop)) return null
         var result: RequestResult? = null
-        while (left > 0) {
-            val helper = nextHelper(evidence) ?: break
-            // What the first helper did with its attempts is not known when it does not answer.
-            val mayFollow = route.kind.retryable && tried.size < MAX_HELPERS && left > 1
-            val granted = if (mayFollow) left - 1 else left
-            val timeLeft = deadline - ticker.now()
-            val reply = exchange(helper, granted, if (mayFollow) timeLeft * FIRST_SHARE else timeLeft)
+        while (true) {
+            val helper = nextHelper() ?: return result
+            val reply = exchange(helper, hop)
             final(reply, evidence)?.let { return it }
             result = interim(reply, evidence)
-            if (evidence.mayHaveRun) left -= granted
         }
-        return result
     }
 
-    /** The entry to ask next; null when none can help, or the request may not be sent once more. */
-    private fun nextHelper(evidence: ExecutionEvidence): PeerStatus? {
-        if (tried.size >= MAX_HELPERS || ticker.now() >= deadline) return null
-        val helper = helpers.select(tried) ?: return null
-        val repeats = tried.isNotEmpty() && evidence.mayHaveRun
-        if (repeats && !mayRepeat()) return null
-        tried += helper.name
-        return helper
+    /** The entry to ask next; null when none can help in time. */
+    private fun nextHelper(): PeerStatus? {
+        if (asked.size >= MAX_HELPERS || ticker.now() >= deadline) return null
+        return helpers.select(asked)?.also { asked += it.name }
     }
 
-    /** Sends the request to [helper], which may make [attempts]; null when it does not answer within [limit]. */
-    private suspend fun exchange(helper: PeerStatus, attempts: Int, limit: Duration): AttemptResult? {
+    /** Sends the request to [helper], which gets [hop]; null when it does not answer before the deadline. */
+    private suspend fun exchange(helper: PeerStatus, hop: Hop): AttemptResult? {
         val sentAt = ticker.now()
-        val headers = RelayHeaders.of(Hop(request.fingerprint, attempts))
+        val headers = RelayHeaders.of(hop)
         val outbound = UpstreamRequest(request, deadline, null, headers) {
             handler.configurationAdmission.maySend(request.arrivedAt)
         }
         metrics.relayed(RelayEvent.SENT)
         helpers.count(helper, 1)
         val result = try {
-            withTimeoutOrNull(limit) { links.exchange(checkNotNull(helper.record.relay), outbound, MAX_IDLE) }
+            withTimeoutOrNull(deadline - sentAt) {
+                links.exchange(checkNotNull(helper.record.relay), outbound, MAX_IDLE)
+            }
         } finally {
             helpers.count(helper, -1)
         }
@@ -91,7 +83,7 @@
         return result
     }
 
-    /** The final answer that [reply] is; null when another helper may bring a better one. */
+    /** The final answer that [reply] is; null when the helper has not run the request, so that another one may. */
     private fun final(reply: AttemptResult?, evidence: ExecutionEvidence): RequestResult? = when (reply) {
         is AttemptResult.Answered -> {
             evidence.mayHaveRun = true
@@ -105,24 +97,20 @@
             val outcome = if (ticker.now() >= deadline) Outcome.EXPIRED else Outcome.BEHIND
             evidence.refuse(outcome, RequestHandler.OTHER_ENTRY_RETRY_AFTER)
         }
-        else -> null
-    }
-
-    /** The answer in case that [reply] is the last one. */
-    private fun interim(reply: AttemptResult?, evidence: ExecutionEvidence): RequestResult = when (reply) {
-        is AttemptResult.NotExecuted -> evidence.refuse(Outcome.HELPER_REFUSED, reply.notice.retryAfter ?: RETRY_AFTER)
-        is AttemptResult.Lost -> {
+        is AttemptResult.Lost, null -> {
             evidence.mayHaveRun = true
             evidence.uncertain(if (ticker.now() >= deadline) Outcome.TIMED_OUT else Outcome.LOST)
         }
-        null -> {
-            evidence.mayHaveRun = true
-            evidence.uncertain(Outcome.TIMED_OUT)
-        }
-        else -> evidence.refuse(Outcome.NOT_SENT, RETRY_AFTER)
+        is AttemptResult.NotExecuted, AttemptResult.NotSent -> null
     }
 
-    private fun mayRepeat() = route.kind.retryable && handler.decisions.retryBudget.tryAcquire(service, ticker.now())
+    /** The answer in case that [reply] is the last one. */
+    private fun interim(reply: AttemptResult?, evidence: ExecutionEvidence): RequestResult =
+        if (reply is AttemptResult.NotExecuted) {
+            evidence.refuse(Outcome.HELPER_REFUSED, reply.notice.retryAfter ?: RETRY_AFTER)
+        } else {
+            evidence.refuse(Outcome.NOT_SENT, RETRY_AFTER)
+        }
 
     private fun eventOf(result: AttemptResult?) = when (result) {
         is AttemptResult.Answered -> RelayEvent.ANSWERED
@@ -139,9 +127,6 @@
         const val FIRST_SERVER_ERROR = 500
         const val GATEWAY_TIMEOUT = 504
 
-        /** Share of the time that is left which the first helper gets, where a second one may follow. */
-        const val FIRST_SHARE = 0.6
-
         /** A connection between entries that was idle for longer may have gone silent. */
         val MAX_IDLE: Duration = 3.seconds
         val RETRY_AFTER = 50.milliseconds
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Attempt.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/Attempt.kt
@@ -18,6 +18,9 @@
     /** The connection that carries this attempt; null until there is one. */
     var connection: ConnectionUse? = null
 
+    /** Whether the request was sent to the upstream, at least in part. */
+    val wasSent: Boolean get() = connection != null
+
     /** When the connection that carries this attempt was opened; null until there is one. */
     val connectedAt: Duration? get() = connection?.openedAt
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestHandler.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestHandler.kt
@@ -121,13 +121,13 @@
     ): RequestResult {
         val mayHop = request.hop == null
         if (mayHop && reach.isCut(service)) {
-            val elsewhere = relayPath.runOf(this, request, route, service, report)
+            val elsewhere = relayPath.runOf(this, request, route, report)
             elsewhere.run(ExecutionEvidence(), route.maxAttempts)?.let { return it }
         }
         val run = RequestRun(this, request, route, service, report)
         val result = runHere(run)
         if (!mayHop || !run.mayRunElsewhere(result)) return result
-        val elsewhere = relayPath.runOf(this, request, route, service, report)
+        val elsewhere = relayPath.runOf(this, request, route, report)
         return elsewhere.run(run.evidence, run.attemptsLeft) ?: result
     }
 
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestReport.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestReport.kt
@@ -19,6 +19,9 @@
     var confirmedMs: Long? = null
     val attempts = ArrayList<Attempt>(2)
 
+    /** Ids of the upstreams that this entry has sent the request to, whether they ran it or not. */
+    val sentTo: Set<String> get() = attempts.filter { it.wasSent }.mapTo(LinkedHashSet()) { it.row.id }
+
     /** The entries by way of which the request was sent, and what became of that, for the log. */
     val hops = ArrayList<String>(0)
     var outcome: Outcome = Outcome.FAILED
--- a/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
+++ b/gateway/src/main/kotlin/io/poplarwood/gateway/runtime/RequestRun.kt
@@ -41,7 +41,7 @@
     private val targetAt = request.arrivedAt + route.target * TARGET_SHARE
     private val job: RequestEstimate get() = RequestEstimate(decisions.workTimes.mean(route), request.body.size)
     private val secondAttempts = SecondAttempts(decisions, route, service, targetAt)
-    private val triedUpstreams = HashSet<String>()
+    private val triedUpstreams = HashSet(request.hop?.sentTo.orEmpty())
     private val attempts = AttemptRunner(handler, request, route, service, report, deadline, ::onFinished)
     private val finishedAttempts = ArrayDeque<Attempt>()
     private val wakeUp = Channel<Unit>(Channel.CONFLATED)
@@ -141,10 +141,11 @@
         }
     }
 
-    /** Gives up the attempts at upstreams that this entry cannot reach, if the request may be sent once more. */
+    /** Gives up the attempts at upstreams that this entry cannot reach, if the request may be sent to another one. */
     private fun handOver(): RequestResult? {
         pathLost = false
-        val allowed = request.hop == null && route.kind.retryable && attemptsLeft > 0
+        val othersLeft = decisions.upstreams.of(service).any { it.id !in report.sentTo }
+        val allowed = request.hop == null && route.kind.retryable && attemptsLeft > 0 && othersLeft
         if (!allowed || !decisions.retryBudget.tryAcquire(service, ticker.now())) return null
         handedOver = true
         evidence.mayHaveRun = true
