--- a/bench/src/main/kotlin/io/poplarwood/bench/answers/AnswerFindings.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/answers/AnswerFindings.kt
@@ -27,10 +27,10 @@
     /** Sendings that got the answer of a run that had begun before they were sent. */
     val earlierRuns: List<Sending> = sendings.filter { (runOf(it)?.startedNs ?: Long.MAX_VALUE) < it.sentNs }
 
-    /** Sendings that got another status than every run since they were sent had. */
-    val otherStatus: List<Sending> = earlierRuns.filter { sending ->
+    /** Sendings that got an upstream's answer with another status than every run since they were sent had. */
+    val otherStatus: List<Sending> = sendings.filter { sending ->
         val own = ownRuns(sending)
-        own.isNotEmpty() && own.none { it.status == sending.status }
+        sending.body.isNotEmpty() && own.isNotEmpty() && own.none { it.status == sending.status }
     }
 
     /** Sendings whose answer promises that they have not run, though they have. */
--- a/bench/src/main/kotlin/io/poplarwood/bench/answers/AnswersBench.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/answers/AnswersBench.kt
@@ -52,6 +52,7 @@
         val counts = listOf(
             "answers to another request" to found.otherRequests.size,
             "answers of an earlier run" to found.earlierRuns.size,
+            "answers of another status" to found.otherStatus.size,
             "promises broken" to found.brokenPromises.size,
             "run twice" to found.runTwice.size,
             "errors logged by entries" to found.errors,
--- a/bench/src/main/kotlin/io/poplarwood/bench/answers/StutteringUpstreams.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/answers/StutteringUpstreams.kt
@@ -38,8 +38,9 @@
         val delayMs = MIN_WORK_MS + (draw() * WORK_SPREAD_MS).toLong()
         if (kind < REJECTED_SHARE) return Reaction(rejection(request), repetition = repetition)
         val run = startRun(request, if (kind < REJECTED_SHARE + FAILED_SHARE) FAILED else SERVED)
-        val reply = Reaction.reply(request, run.status, "${run.id}/${run.number}")
-        return Reaction(reply.bytes, delayMs, repetition = repetition)
+        val reply = Reaction.reply(request, run.status, "${run.id}/${run.number}").bytes.decodeToString()
+        val bytes = reply.replaceFirst("\r\n", "\r\nServer: stand-in\r\n").encodeToByteArray()
+        return Reaction(bytes, delayMs, repetition = repetition)
     }
 
     private fun startRun(request: ReceivedRequest, status: Int): UpstreamRun {
@@ -53,8 +54,11 @@
         return "HTTP/1.1 503 Busy\r\n${echo}Poplarwood-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encodeToByteArray()
     }
 
-    private fun repetition() =
-        if (draw() < 0.5) Repetition.BeforeNextReply else Repetition.After((draw() * SECOND_SPREAD_MS).toLong())
+    private fun repetition(): Repetition {
+        val length = if (case.cutSeconds) 1 + (draw() * MAX_CUT_BYTES).toInt() else null
+        if (draw() < 0.5) return Repetition.BeforeNextReply(length)
+        return Repetition.After((draw() * SECOND_SPREAD_MS).toLong(), length)
+    }
 
     private fun draw() = synchronized(random) { random.nextDouble() }
 
@@ -68,5 +72,8 @@
         const val MIN_WORK_MS = 1L
         const val WORK_SPREAD_MS = 20
         const val SECOND_SPREAD_MS = 120
+
+        /** Within the status line and the first field. */
+        const val MAX_CUT_BYTES = 32
     }
 }
