Keep the platform's names in the platform module's stand-ins

The rejection without an id is a reaction of the stand-in upstream now, and the stand-in caller tells whether a reply is signed.

--- a/bench/src/main/kotlin/io/poplarwood/bench/answers/RepeatingCaller.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/answers/RepeatingCaller.kt
@@ -64,7 +64,7 @@
             null
         }
         if (reply?.headers?.get("connection") == "close") disconnect()
-        val body = if (reply != null && SIGNATURE in reply.headers) reply.body else ""
+        val body = reply?.takeIf { it.signed }?.body.orEmpty()
         return Sending(id, mayRunAgain, sentNs, ticker.nowNs, reply?.status ?: 0, body)
     }
 
@@ -79,7 +79,6 @@
     }
 
     private companion object {
-        const val SIGNATURE = "poplarwood-upstream-signature"
         const val SERVED = 200
         const val NOT_RUN = 503
         const val MAX_SENDINGS = 3
--- a/bench/src/main/kotlin/io/poplarwood/bench/answers/StutteringUpstreams.kt
+++ b/bench/src/main/kotlin/io/poplarwood/bench/answers/StutteringUpstreams.kt
@@ -49,10 +49,8 @@
         return run
     }
 
-    private fun rejection(request: ReceivedRequest): ByteArray {
-        val echo = if (case.rejectionsNameId) "Poplarwood-Request-Id: ${request.id}\r\n" else ""
-        return "HTTP/1.1 503 Busy\r\n${echo}Poplarwood-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encodeToByteArray()
-    }
+    private fun rejection(request: ReceivedRequest) =
+        (if (case.rejectionsNameId) Reaction.shed(request) else Reaction.shedWithoutId()).bytes
 
     private fun repetition(): Repetition {
         val length = if (case.cutSeconds) 1 + (draw() * MAX_CUT_BYTES).toInt() else null
